--- /dev/null
+++ b/cmd/daisyhead/jobs.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisyhead/internal/entry/parser"
+	"daisyhead/internal/entry/presenter"
+	"daisyhead/internal/entry/specifier"
+	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/product/printer"
+)
+
+// jobFile is a YAML file with jobs.
+type jobFile struct {
+	Jobs []specifier.Job
+}
+
+type jobSubmitCommand struct {
+	File string `short:"f" long:"file" required:"true" description:"YAML file with a list of Jobs"`
+}
+
+// Execute submits the jobs of a file.
+func (c *jobSubmitCommand) Execute([]string) error {
+	jobs, err := readJobs(c.File)
+	if err != nil {
+		return exitError{exitUsage, err}
+	}
+	cl, err := client()
+	if err != nil {
+		return err
+	}
+	var submitted []presenter.Job
+	for _, j := range jobs {
+		job, err := cl.SubmitJob(context.Background(), j)
+		if err != nil {
+			return errors.CombineErrors(errors.Wrapf(err, "job %q, after %d submitted", j.Name, len(submitted)), printJobs(submitted))
+		}
+		submitted = append(submitted, job)
+	}
+	if err := printJobs(submitted); err != nil {
+		return err
+	}
+	return judgeJobs(submitted, false)
+}
+
+func readJobs(file string) ([]specifier.Job, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var f jobFile
+	if err := parser.Parse(file, data, &f); err != nil {
+		return nil, err
+	}
+	for i, j := range f.Jobs {
+		if err := j.Normalize().Validate(); err != nil {
+			return nil, errors.Wrapf(err, "%s: Jobs[%d]", file, i)
+		}
+	}
+	return f.Jobs, nil
+}
+
+func printJobs(jobs []presenter.Job) error {
+	table := printer.Table{Head: []string{"ID", "NAME", "WORKSPACE", "STATUS", "OUTCOME", "ATTEMPTS", "WORKERS", "WHY"}}
+	for _, j := range jobs {
+		why := j.Reason
+		if why == "" {
+			why = j.WaitingFor
+		}
+		table.Add(j.ID, j.Name, j.Workspace, j.Status, j.Outcome, j.Attempts, strings.Join(j.Workers, ","), why)
+	}
+	return output().Print(jobs, table)
+}
+
+// judgeJobs turns final states into an exit code.
+func judgeJobs(jobs []presenter.Job, ended bool) error {
+	code := exitOK
+	for _, j := range jobs {
+		switch j.Status {
+		case reducer.JobUnknown:
+			code = exitUnknown
+		case reducer.JobRefused:
+			code = max(code, exitRefused)
+		case reducer.JobFailed, reducer.JobCancelled:
+			if ended {
+				code = max(code, exitRefused)
+			}
+		}
+	}
+	if code == exitOK {
+		return nil
+	}
+	return exitError{code, errors.New("not every job finished")}
+}
+
+type jobArgs struct {
+	Args struct {
+		ID []string `positional-arg-name:"ID"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type jobStatusCommand struct{ jobArgs }
+
+// Execute shows jobs.
+func (c *jobStatusCommand) Execute([]string) error {
+	cl, err := client()
+	if err != nil {
+		return err
+	}
+	var jobs []presenter.Job
+	for _, id := range c.Args.ID {
+		job, err := cl.Job(context.Background(), id)
+		if err != nil {
+			return err
+		}
+		jobs = append(jobs, job)
+	}
+	return printJobs(jobs)
+}
+
+type jobListCommand struct {
+	Workspace string `long:"workspace" description:"only jobs of this workspace"`
+	Status    string `long:"status" description:"only jobs with this status"`
+	Limit     int    `long:"limit" description:"at most so many"`
+}
+
+// Execute lists jobs.
+func (c *jobListCommand) Execute([]string) error {
+	cl, err := client()
+	if err != nil {
+		return err
+	}
+	list, err := cl.Jobs(context.Background(), presenter.JobFilter{Workspace: c.Workspace, Status: reducer.JobStatus(c.Status), Limit: c.Limit})
+	if err != nil {
+		return err
+	}
+	if global.Output != "table" {
+		return output().Print(list, printer.Table{})
+	}
+	if err := printJobs(list.Jobs); err != nil {
+		return err
+	}
+	if list.HistorySince != nil {
+		fmt.Printf("Ended jobs from before %s have expired.\n", list.HistorySince.Format(time.RFC3339))
+	}
+	return nil
+}
+
+type jobCancelCommand struct {
+	jobArgs
+	Reason string `long:"reason" description:"why, for the job's history"`
+}
+
+// Execute cancels jobs.
+func (c *jobCancelCommand) Execute([]string) error {
+	cl, err := client()
+	if err != nil {
+		return err
+	}
+	var jobs []presenter.Job
+	for _, id := range c.Args.ID {
+		job, err := cl.CancelJob(context.Background(), id, c.Reason)
+		if err != nil {
+			return err
+		}
+		jobs = append(jobs, job)
+	}
+	return printJobs(jobs)
+}
+
+type jobWaitCommand struct {
+	jobArgs
+	Timeout time.Duration `long:"timeout" default:"1h" description:"give up after this time"`
+}
+
+// waitInterval is how often a waited-for job is looked at.
+const waitInterval = 500 * time.Millisecond
+
+// Execute waits for jobs to end.
+func (c *jobWaitCommand) Execute([]string) error {
+	cl, err := client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := interruptible()
+	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, c.Timeout)
+	defer cancelTimeout()
+	var jobs []presenter.Job
+	for _, id := range c.Args.ID {
+		for {
+			job, err := cl.Job(ctx, id)
+			if err != nil && ctx.Err() != nil {
+				return exitError{exitUnavailable, errors.Newf("job %s has not ended within %s", id, c.Timeout)}
+			}
+			if err == nil && job.Status.Final() {
+				jobs = append(jobs, job)
+				break
+			}
+			time.Sleep(waitInterval)
+		}
+	}
+	if err := printJobs(jobs); err != nil {
+		return err
+	}
+	return judgeJobs(jobs, true)
+}
+
+type jobExplainCommand struct{ jobArgs }
+
+// Execute tells jobs' stories.
+func (c *jobExplainCommand) Execute([]string) error {
+	cl, err := client()
+	if err != nil {
+		return err
+	}
+	for _, id := range c.Args.ID {
+		story, err := cl.ExplainJob(context.Background(), id)
+		if err != nil {
+			return err
+		}
+		if global.Output == "table" {
+			fmt.Print(story.Text())
+			continue
+		}
+		if err := output().Print(story, printer.Table{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/explainer/explainer.go
@@ -0,0 +1,200 @@
+// Package explainer tells the whole story of one job, in order, from the
+// folded state alone. Every instance tells the same story.
+//
+//	story := explainer.Explain(state, job, now)
+//	fmt.Print(story.Text())
+package explainer
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"daisyhead/internal/entry/specifier"
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+)
+
+// Story is what happened to a job.
+type Story struct {
+	ID        string
+	Name      string
+	Workspace string
+	Status    reducer.JobStatus
+	Outcome   encoder.Outcome
+	// Summary says in a sentence or two where the job stands and why.
+	Summary  string
+	Lines    []Line
+	Attempts []Attempt
+	// Unknown lists what can't be said for certain, and since when.
+	Unknown []string `json:",omitempty"`
+	// Missing says what part of the history has expired; empty when whole.
+	Missing string `json:",omitempty"`
+}
+
+// Line is one event of the story.
+type Line struct {
+	At   time.Time
+	Kind string
+	Text string
+	// Offset is the place of the record in the ledger.
+	Offset uint64
+}
+
+// Attempt is one placement of the job's gang.
+type Attempt struct {
+	Number  int
+	Term    uint64
+	Claim   string `json:",omitempty"`
+	Workers []string
+	// Committed is when the intent to start was recorded.
+	Committed time.Time
+	Running   *time.Time `json:",omitempty"`
+	Ended     *time.Time `json:",omitempty"`
+	Result    encoder.Result
+	Why       string
+	EndedWhy  string `json:",omitempty"`
+}
+
+// Explain tells the story of j as of nowMS, Unix milliseconds.
+func Explain(s *reducer.State, j *reducer.Job, nowMS int64) Story {
+	story := Story{
+		ID: j.ID, Name: j.Spec.Name, Workspace: j.Spec.Workspace, Status: j.Status, Outcome: j.Outcome,
+		Summary: summarize(s, j, nowMS),
+	}
+	for _, e := range j.Events {
+		story.Lines = append(story.Lines, Line{At: at(e.AtMS), Kind: e.Kind, Text: e.Text, Offset: e.Offset})
+	}
+	for _, a := range j.Attempts {
+		story.Attempts = append(story.Attempts, describeAttempt(a))
+	}
+	story.Unknown = unknowns(s, j)
+	if j.EventsLost > 0 {
+		story.Missing = fmt.Sprintf("%d older events between the submission and %s have expired", j.EventsLost, clock(j.Events[1].AtMS))
+	}
+	return story
+}
+
+func describeAttempt(a reducer.Attempt) Attempt {
+	v := Attempt{
+		Number: a.Number, Term: a.Term, Claim: a.Claim, Committed: at(a.CommittedMS), Running: optional(a.RunningMS),
+		Ended: optional(a.EndedMS), Result: a.Result, Why: a.Reason, EndedWhy: a.EndReason,
+	}
+	for _, p := range a.Placements {
+		v.Workers = append(v.Workers, fmt.Sprintf("%s x%d", p.Worker, p.Tasks))
+	}
+	return v
+}
+
+func summarize(s *reducer.State, j *reducer.Job, nowMS int64) string {
+	age := since(j.SubmittedMS, nowMS)
+	switch j.Status {
+	case reducer.JobWaiting:
+		reason := j.WaitingFor
+		if reason == "" {
+			reason = "the next decision"
+		}
+		return fmt.Sprintf("The job waits, %s after its submission, after %s. It waits for: %s.", age, plural(j.AttemptCount, "attempt"), reason)
+	case reducer.JobStarting:
+		return fmt.Sprintf("Attempt %d is being started; not every worker has confirmed yet.", j.AttemptCount)
+	case reducer.JobRunning:
+		a := j.Active()
+		return fmt.Sprintf("The job runs as attempt %d on %s since %s.", a.Number, plural(len(a.Placements), "worker"), clock(a.RunningMS))
+	case reducer.JobStopping:
+		a := j.Active()
+		return fmt.Sprintf("Attempt %d is being stopped (%s): %s.", a.Number, a.StopCause, a.StopReason)
+	}
+	text := fmt.Sprintf("%s %s after its submission, after %s: %s.", j.Status, since(j.SubmittedMS, j.EndedMS), plural(j.AttemptCount, "attempt"), j.Reason)
+	switch j.Outcome {
+	case encoder.OutcomeNotRun:
+		return text + " No part of it ever ran."
+	case encoder.OutcomeUnknown:
+		return text + " Whether it ran can't be proved."
+	}
+	return text
+}
+
+// unknowns lists what the ledger can't tell.
+func unknowns(s *reducer.State, j *reducer.Job) []string {
+	var list []string
+	for _, a := range j.Attempts {
+		switch {
+		case a.Result == encoder.ResultLost:
+			list = append(list, fmt.Sprintf("what attempt %d did after %s: %s", a.Number, clock(max(a.RunningMS, a.CommittedMS)), a.EndReason))
+		case a.EndedMS == 0 && a.RunningMS == 0:
+			list = append(list, fmt.Sprintf("whether every worker of attempt %d has started, since %s", a.Number, clock(a.CommittedMS)))
+		}
+	}
+	if a := j.Active(); a != nil {
+		for _, p := range a.Placements {
+			if h := s.Workers[p.Worker]; h.Silent {
+				list = append(list, fmt.Sprintf("what worker %s does since %s: %s", p.Worker, clock(h.SinceMS), h.SilentReason))
+			}
+		}
+	}
+	return list
+}
+
+// Text returns the story for reading.
+func (s Story) Text() string {
+	var b strings.Builder
+	name := s.Name
+	if name == "" {
+		name = "(no name)"
+	}
+	fmt.Fprintf(&b, "Job %s, %s, workspace %s\n%s\n\nHistory\n", s.ID, name, s.Workspace, s.Summary)
+	for _, l := range s.Lines {
+		fmt.Fprintf(&b, "  %s  %s\n", l.At.Format("2006-01-02 15:04:05.000"), l.Text)
+	}
+	if s.Missing != "" {
+		fmt.Fprintf(&b, "  (%s)\n", s.Missing)
+	}
+	if len(s.Attempts) > 0 {
+		b.WriteString("\nAttempts\n")
+	}
+	for _, a := range s.Attempts {
+		b.WriteString(a.text())
+	}
+	if len(s.Unknown) > 0 {
+		b.WriteString("\nNot known\n")
+	}
+	for _, u := range s.Unknown {
+		fmt.Fprintf(&b, "  - %s\n", u)
+	}
+	return b.String()
+}
+
+func (a Attempt) text() string {
+	result := "active"
+	if a.Result != "" {
+		result = string(a.Result)
+	}
+	text := fmt.Sprintf("  %d  term %d  %-8s  %s  %s", a.Number, a.Term, result, strings.Join(a.Workers, ", "), a.Why)
+	if a.EndedWhy != "" {
+		text += "; ended: " + a.EndedWhy
+	}
+	return text + "\n"
+}
+
+func at(ms int64) time.Time { return time.UnixMilli(ms).UTC() }
+
+func optional(ms int64) *time.Time {
+	if ms == 0 {
+		return nil
+	}
+	t := at(ms)
+	return &t
+}
+
+func clock(ms int64) string { return at(ms).Format("15:04:05.000") }
+
+func since(from, to int64) string {
+	return specifier.Duration(time.Duration(max(to-from, 0)) * time.Millisecond).String()
+}
+
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- /dev/null
+++ b/internal/control/placer/fleet.go
@@ -0,0 +1,176 @@
+// Package placer finds places for gangs and guaranteed shapes on a fleet of
+// workers. It is pure: the same inputs give the same places.
+//
+//	fleet := placer.NewFleet(nodes)
+//	free := fleet.Totals()
+//	places, ok := fleet.Place(free, placer.Request{Tasks: 4, Each: placer.Resources{Accelerators: 8}, Within: specifier.WithinRack}, placer.Options{})
+//	free.Take(fleet, places)
+package placer
+
+import (
+	"cmp"
+	"slices"
+
+	"daisyhead/internal/entry/specifier"
+)
+
+// Resources are amounts on one worker: processors in cores, memory in MB.
+type Resources struct {
+	Processors   int
+	MemoryMB     int
+	Accelerators int
+}
+
+// Node is a worker and where it stands.
+type Node struct {
+	Worker string
+	Rack   string
+	Domain string
+	Region string
+	Total  Resources
+}
+
+// Fleet is a fixed set of nodes in the order region, domain, rack, worker.
+type Fleet struct {
+	Nodes  []Node
+	index  map[string]int
+	spans  [5][]span
+	widest int
+}
+
+// span is a run of nodes that share a worker, rack, domain, region or fleet.
+type span struct{ from, to int }
+
+// Free holds the free resources of each node, in the fleet's order.
+type Free []Resources
+
+// Place is a number of tasks on one node.
+type Place struct {
+	Node  int
+	Tasks int
+	Each  Resources
+}
+
+var levels = [5]specifier.Adjacency{
+	specifier.WithinWorker, specifier.WithinRack, specifier.WithinDomain, specifier.WithinRegion, specifier.WithinAny,
+}
+
+// NewFleet sorts the nodes and finds their groups.
+func NewFleet(nodes []Node) *Fleet {
+	f := &Fleet{Nodes: slices.Clone(nodes), index: make(map[string]int, len(nodes))}
+	slices.SortFunc(f.Nodes, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.Worker, b.Worker))
+	})
+	for i, n := range f.Nodes {
+		f.index[n.Worker] = i
+		f.widest = max(f.widest, n.Total.Accelerators)
+	}
+	for level := range f.spans {
+		f.spans[level] = f.group(level)
+	}
+	return f
+}
+
+func (f *Fleet) group(level int) []span {
+	var spans []span
+	for i := range f.Nodes {
+		if i > 0 && f.sameGroup(level, i-1, i) {
+			spans[len(spans)-1].to = i + 1
+			continue
+		}
+		spans = append(spans, span{i, i + 1})
+	}
+	return spans
+}
+
+func (f *Fleet) sameGroup(level, i, j int) bool {
+	a, b := f.Nodes[i], f.Nodes[j]
+	switch levels[level] {
+	case specifier.WithinWorker:
+		return false
+	case specifier.WithinRack:
+		return a.Region == b.Region && a.Domain == b.Domain && a.Rack == b.Rack
+	case specifier.WithinDomain:
+		return a.Region == b.Region && a.Domain == b.Domain
+	case specifier.WithinRegion:
+		return a.Region == b.Region
+	}
+	return true
+}
+
+// Index returns the position of a worker, or -1.
+func (f *Fleet) Index(worker string) int {
+	if i, ok := f.index[worker]; ok {
+		return i
+	}
+	return -1
+}
+
+// Totals returns the free resources of an empty fleet.
+func (f *Fleet) Totals() Free {
+	free := make(Free, len(f.Nodes))
+	for i, n := range f.Nodes {
+		free[i] = n.Total
+	}
+	return free
+}
+
+// Clone returns a copy.
+func (f Free) Clone() Free { return slices.Clone(f) }
+
+// Take subtracts the places.
+func (f Free) Take(places []Place) {
+	for _, p := range places {
+		f[p.Node] = f[p.Node].Minus(p.Each.Times(p.Tasks))
+	}
+}
+
+// Give adds the places back.
+func (f Free) Give(places []Place) {
+	for _, p := range places {
+		f[p.Node] = f[p.Node].Plus(p.Each.Times(p.Tasks))
+	}
+}
+
+// Floor returns the smaller of f and g for each resource of each node.
+func (f Free) Floor(g Free) Free {
+	low := f.Clone()
+	for i := range low {
+		low[i] = Resources{
+			Processors:   min(f[i].Processors, g[i].Processors),
+			MemoryMB:     min(f[i].MemoryMB, g[i].MemoryMB),
+			Accelerators: min(f[i].Accelerators, g[i].Accelerators),
+		}
+	}
+	return low
+}
+
+// Plus returns r + o.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.Processors + o.Processors, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns r - o.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.Processors - o.Processors, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.Processors * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// fits returns how many times need goes into r.
+func (r Resources) fits(need Resources) int {
+	n := 1 << 30
+	if need.Processors > 0 {
+		n = min(n, r.Processors/need.Processors)
+	}
+	if need.MemoryMB > 0 {
+		n = min(n, r.MemoryMB/need.MemoryMB)
+	}
+	if need.Accelerators > 0 {
+		n = min(n, r.Accelerators/need.Accelerators)
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/internal/control/planner/guarantees.go
@@ -0,0 +1,317 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"daisyhead/internal/control/placer"
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+)
+
+// shape is one instance of a guarantee with the place that is kept for it.
+type shape struct {
+	placer.Shape
+	claim  string
+	places []placer.Place
+	// room is what the shape's claimants have not taken yet; nil when unplaced.
+	room placer.Free
+	used int
+}
+
+func (p *pass) packGuarantees() {
+	p.listShapes()
+	hard := p.hardFree()
+	p.bindClaimed(hard)
+	p.packUnclaimed(hard)
+	p.spare = hard
+}
+
+func (p *pass) listShapes() {
+	counts := map[string]int{}
+	for _, s := range p.in.State.GuaranteeShapes() {
+		name := s.Workspace + "/" + s.Guarantee
+		p.shapes = append(p.shapes, &shape{Shape: s, claim: fmt.Sprintf("%s#%d", s.Guarantee, counts[name])})
+		counts[name]++
+	}
+}
+
+// hardFree returns the open nodes less what may not be stopped for a guarantee.
+// Claimed work is left in: bindClaimed accounts for it by its shape.
+func (p *pass) hardFree() placer.Free {
+	hard := p.fleet.Totals()
+	for i := range hard {
+		if p.closed[i] {
+			hard[i] = placer.Resources{}
+		}
+	}
+	for _, a := range p.actives {
+		if !a.reclaimable && p.shapeOf(a) == nil {
+			hard.Take(a.places)
+		}
+	}
+	return hard
+}
+
+func (p *pass) shapeOf(a *active) *shape {
+	if a.attempt.Claim == "" {
+		return nil
+	}
+	for _, s := range p.shapes {
+		if s.Workspace == a.job.Spec.Workspace && s.claim == a.attempt.Claim {
+			return s
+		}
+	}
+	return nil
+}
+
+// bindClaimed keeps the rest of a partly claimed shape next to its claimants.
+func (p *pass) bindClaimed(hard placer.Free) {
+	for _, a := range p.actives {
+		s := p.shapeOf(a)
+		if s == nil || a.stopping {
+			continue
+		}
+		if s.room == nil {
+			s.room = make(placer.Free, len(p.fleet.Nodes))
+		}
+		s.used++
+		p.coverClaimant(hard, s, a.places)
+	}
+	for _, s := range p.shapes {
+		if s.used > 0 {
+			p.completeShape(hard, s)
+		}
+	}
+}
+
+// coverClaimant puts enough of the shape's tasks on each node that a claimant uses.
+func (p *pass) coverClaimant(hard placer.Free, s *shape, places []placer.Place) {
+	for _, pl := range places {
+		each := p.fleet.Need(s.Request, pl.Node)
+		need := pl.Each.Times(pl.Tasks)
+		for s.room[pl.Node].Accelerators < need.Accelerators {
+			s.room[pl.Node] = s.room[pl.Node].Plus(each)
+			hard[pl.Node] = hard[pl.Node].Minus(each)
+			s.places = append(s.places, placer.Place{Node: pl.Node, Tasks: 1, Each: each})
+		}
+		s.room[pl.Node] = s.room[pl.Node].Minus(need)
+	}
+}
+
+func (p *pass) completeShape(hard placer.Free, s *shape) {
+	rest := s.Request
+	rest.Tasks -= len(s.places)
+	if rest.Tasks <= 0 || len(s.places) == 0 {
+		return
+	}
+	near := p.fleet.Near(s.places[0].Node, rest.Within)
+	places, ok := p.fleet.Place(hard, rest, placer.Options{Closed: orMask(p.closed, near)})
+	if ok {
+		s.keep(hard, places)
+	}
+}
+
+func (s *shape) keep(hard placer.Free, places []placer.Place) {
+	hard.Take(places)
+	s.places = append(s.places, places...)
+	s.room.Give(places)
+}
+
+// orMask closes what is closed already and what is not near.
+func orMask(closed, near []bool) []bool {
+	mask := slices.Clone(closed)
+	for i := range mask {
+		mask[i] = mask[i] || !near[i]
+	}
+	return mask
+}
+
+// packUnclaimed keeps a place for each unclaimed shape: on free workers as far
+// as they go, else on workers whose work may be stopped.
+func (p *pass) packUnclaimed(hard placer.Free) {
+	var open []*shape
+	for _, s := range p.shapes {
+		if s.used == 0 {
+			open = append(open, s)
+		}
+	}
+	open = p.packOn(hard, p.freeSoon().Floor(hard), open)
+	p.packOn(hard, hard.Clone(), open)
+}
+
+// freeSoon is what is free once the attempts that are stopping have stopped.
+func (p *pass) freeSoon() placer.Free {
+	soon := p.free.Clone()
+	for _, a := range p.actives {
+		if a.stopping {
+			soon.Give(a.places)
+		}
+	}
+	return soon
+}
+
+func (p *pass) packOn(hard, room placer.Free, shapes []*shape) (unplaced []*shape) {
+	list := make([]placer.Shape, len(shapes))
+	for i, s := range shapes {
+		list[i] = s.Shape
+	}
+	packing := p.fleet.Pack(room, list, placer.Options{Closed: p.closed})
+	for i, s := range shapes {
+		if packing.Places[i] == nil {
+			unplaced = append(unplaced, s)
+			continue
+		}
+		s.room = make(placer.Free, len(p.fleet.Nodes))
+		s.keep(hard, packing.Places[i])
+	}
+	return unplaced
+}
+
+// mayClaim reports whether the gang's shape is covered by a guarantee of its workspace.
+func (p *pass) mayClaim(j *reducer.Job) bool {
+	return slices.ContainsFunc(p.shapes, func(s *shape) bool { return p.covers(s, j) })
+}
+
+func (p *pass) covers(s *shape, j *reducer.Job) bool {
+	k := j.Spec.Accelerators
+	if s.Workspace != j.Spec.Workspace || k == 0 || k > s.Request.Each.Accelerators {
+		return false
+	}
+	share := p.perAccelerator.Times(k)
+	if j.Spec.Processors > share.Processors || j.Spec.MemoryMB > share.MemoryMB {
+		return false
+	}
+	perTask := s.Request.Each.Accelerators / k
+	if j.Spec.Tasks > s.Request.Tasks*perTask {
+		return false
+	}
+	return j.Spec.Tasks <= perTask || s.Request.Within.Satisfies(j.Spec.Within)
+}
+
+func smallestShare(f *placer.Fleet) placer.Resources {
+	share := placer.Resources{Processors: 1 << 30, MemoryMB: 1 << 30, Accelerators: 1}
+	for _, n := range f.Nodes {
+		if k := n.Total.Accelerators; k > 0 {
+			share.Processors = min(share.Processors, n.Total.Processors/k)
+			share.MemoryMB = min(share.MemoryMB, n.Total.MemoryMB/k)
+		}
+	}
+	return share
+}
+
+// startClaim starts a job inside a shape that its workspace is guaranteed, and
+// stops borrowers that stand in the way.
+func (p *pass) startClaim(j *reducer.Job) bool {
+	var blocked *claimPlace
+	for _, s := range p.shapes {
+		if s.room == nil || !p.covers(s, j) {
+			continue
+		}
+		places, ok := p.fleet.Place(s.room, placer.ForJob(j.Spec), placer.Options{Closed: p.closed})
+		if !ok {
+			continue
+		}
+		if p.covered(p.free, places) {
+			p.claim(j, s, places)
+			return true
+		}
+		c := &claimPlace{shape: s, places: places, cost: p.victimCost(places)}
+		if blocked == nil || c.cost < blocked.cost {
+			blocked = c
+		}
+	}
+	if blocked == nil {
+		return false
+	}
+	p.reclaim(j, blocked)
+	return true
+}
+
+// claimPlace is a place inside a shape that borrowers still use.
+type claimPlace struct {
+	shape  *shape
+	places []placer.Place
+	cost   int64
+}
+
+func (p *pass) claim(j *reducer.Job, s *shape, places []placer.Place) {
+	s.room.Take(places)
+	s.used++
+	p.start(j, places, s.claim, "claims guarantee "+s.claim)
+}
+
+func (p *pass) covered(free placer.Free, places []placer.Place) bool {
+	left := free.Clone()
+	left.Take(places)
+	for _, pl := range places {
+		if r := left[pl.Node]; r.Processors < 0 || r.MemoryMB < 0 || r.Accelerators < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// reclaim stops the borrowers with the least work to lose and keeps the place
+// for the claimant meanwhile.
+func (p *pass) reclaim(j *reducer.Job, c *claimPlace) {
+	c.shape.room.Take(c.places)
+	c.shape.used++
+	p.evict(c.places, j, "guarantee "+c.shape.claim+" of workspace "+j.Spec.Workspace)
+	p.free.Take(c.places)
+	p.note(j, "borrowed workers are being reclaimed for guarantee "+c.shape.claim)
+}
+
+// evict stops reclaimable attempts until the places are free.
+func (p *pass) evict(places []placer.Place, j *reducer.Job, need string) {
+	left := p.freeSoon()
+	left.Take(places)
+	for _, pl := range places {
+		for _, a := range p.victims(pl.Node) {
+			if r := left[pl.Node]; r.Processors >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 {
+				break
+			}
+			left.Give(a.places)
+			p.stop(a, encoder.StopReclaim, fmt.Sprintf("job %s needs the workers for %s", j.ID, need))
+		}
+	}
+}
+
+// victims returns the attempts on a node that may be stopped, least loss first.
+func (p *pass) victims(node int) []*active {
+	var list []*active
+	for _, a := range p.actives {
+		onNode := slices.ContainsFunc(a.places, func(pl placer.Place) bool { return pl.Node == node })
+		if onNode && a.reclaimable && !a.stopping {
+			list = append(list, a)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *active) int { return cmp.Compare(p.lossOf(a), p.lossOf(b)) })
+	return list
+}
+
+// lossOf estimates the accelerator milliseconds that a stop throws away.
+func (p *pass) lossOf(a *active) int64 {
+	weight := int64(max(a.job.Spec.TotalAccelerators(), 1))
+	if a.job.Spec.Urgent {
+		weight *= 1000
+	}
+	if a.job.Spec.Checkpointable {
+		return weight * CheckpointCostMS
+	}
+	return weight * (p.in.NowMS - a.attempt.CommittedMS + CheckpointCostMS)
+}
+
+// CheckpointCostMS is the run time that a checkpoint and a restart cost.
+const CheckpointCostMS = 2000
+
+func (p *pass) victimCost(places []placer.Place) int64 {
+	var cost int64
+	for _, pl := range places {
+		for _, a := range p.victims(pl.Node) {
+			cost += p.lossOf(a)
+		}
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/entry/caller/caller.go
@@ -0,0 +1,305 @@
+// Package caller is a client of the API. It tries several instances in turn and
+// never hides that an outcome is unknown.
+//
+//	c, err := caller.New(caller.Config{Servers: []string{"127.0.0.1:7201"}, Token: token})
+//	job, err := c.SubmitJob(ctx, specifier.Job{…})
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"daisyhead/internal/control/explainer"
+	"daisyhead/internal/entry/presenter"
+	"daisyhead/internal/entry/replier"
+	"daisyhead/internal/entry/specifier"
+	"daisyhead/internal/ledger/encoder"
+)
+
+// MaxAnswerBytes bounds an answer.
+const MaxAnswerBytes = 64 << 20
+
+// requestTimeout bounds one request to one instance.
+const requestTimeout = 15 * time.Second
+
+// Config says where the instances are.
+type Config struct {
+	// Servers are tried in turn, as HOST:PORT or as URL.
+	Servers []string
+	Token   string
+	// AuthorityFile has the certificate authority of the servers, for https.
+	AuthorityFile string
+}
+
+// Client speaks to the API.
+type Client struct {
+	servers []string
+	token   string
+	http    *http.Client
+}
+
+// ErrUnavailable marks answers that no instance could give. Nothing was done.
+var ErrUnavailable = errors.New("no instance could be reached")
+
+// New returns a client.
+func New(cfg Config) (c *Client, err error) {
+	if len(cfg.Servers) == 0 {
+		return nil, errors.New("no server is named")
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	if cfg.AuthorityFile != "" {
+		pem, err := os.ReadFile(cfg.AuthorityFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "read authority")
+		}
+		pool := x509.NewCertPool()
+		pool.AppendCertsFromPEM(pem)
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	c = &Client{token: cfg.Token, http: &http.Client{Transport: transport, Timeout: requestTimeout}}
+	for _, s := range cfg.Servers {
+		if !strings.Contains(s, "://") {
+			s = "http://" + s
+		}
+		c.servers = append(c.servers, strings.TrimSuffix(s, "/"))
+	}
+	return c, nil
+}
+
+// SubmitJob submits a job. A key is made when there is none, so that a repeat
+// at another instance is recognised.
+func (c *Client) SubmitJob(ctx context.Context, j specifier.Job) (job presenter.Job, err error) {
+	if j.Key == "" {
+		j.Key = uuid.NewString()
+	}
+	err = c.do(ctx, http.MethodPost, "/v1/jobs", j, &job)
+	return job, err
+}
+
+// Job returns one job.
+func (c *Client) Job(ctx context.Context, id string) (job presenter.Job, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, &job)
+	return job, err
+}
+
+// Jobs lists jobs.
+func (c *Client) Jobs(ctx context.Context, f presenter.JobFilter) (list presenter.JobList, err error) {
+	q := url.Values{}
+	addValue(q, "Workspace", f.Workspace)
+	addValue(q, "Status", string(f.Status))
+	addNumber(q, "Limit", uint64(f.Limit))
+	err = c.do(ctx, http.MethodGet, "/v1/jobs?"+q.Encode(), nil, &list)
+	return list, err
+}
+
+// CancelJob asks that a job never starts, or stops.
+func (c *Client) CancelJob(ctx context.Context, id, reason string) (job presenter.Job, err error) {
+	err = c.do(ctx, http.MethodPost, "/v1/jobs/"+url.PathEscape(id)+"/cancel", struct{ Reason string }{reason}, &job)
+	return job, err
+}
+
+// ExplainJob returns a job's story.
+func (c *Client) ExplainJob(ctx context.Context, id string) (story explainer.Story, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/explain", nil, &story)
+	return story, err
+}
+
+// ApplyTicket applies a ticket, or only checks it. Applying it again is harmless.
+func (c *Client) ApplyTicket(ctx context.Context, t specifier.Ticket, check bool) (v presenter.Verdict, err error) {
+	path := "/v1/tickets"
+	if check {
+		path += "?Check=true"
+	}
+	err = c.do(ctx, http.MethodPost, path, t, &v)
+	return v, err
+}
+
+// Ticket returns one accepted ticket.
+func (c *Client) Ticket(ctx context.Context, number uint64) (t presenter.Ticket, err error) {
+	err = c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/tickets/%d", number), nil, &t)
+	return t, err
+}
+
+// Tickets lists accepted tickets.
+func (c *Client) Tickets(ctx context.Context) (list []presenter.Ticket, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/tickets", nil, &list)
+	return list, err
+}
+
+// Workspaces lists workspaces.
+func (c *Client) Workspaces(ctx context.Context) (list []presenter.Workspace, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/workspaces", nil, &list)
+	return list, err
+}
+
+// Domains lists failure domains.
+func (c *Client) Domains(ctx context.Context) (list []presenter.Domain, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/domains", nil, &list)
+	return list, err
+}
+
+// Workers lists workers.
+func (c *Client) Workers(ctx context.Context) (list []presenter.Worker, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/workers", nil, &list)
+	return list, err
+}
+
+// Minions lists minions.
+func (c *Client) Minions(ctx context.Context) (list []presenter.Minion, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/minions", nil, &list)
+	return list, err
+}
+
+// Instances lists instances.
+func (c *Client) Instances(ctx context.Context) (list []presenter.Instance, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/instances", nil, &list)
+	return list, err
+}
+
+// Audit reads the audit trail.
+func (c *Client) Audit(ctx context.Context, f presenter.AuditFilter) (trail presenter.AuditTrail, err error) {
+	q := url.Values{}
+	addValue(q, "Object", f.Object)
+	addValue(q, "Actor", f.Actor)
+	addNumber(q, "Ticket", f.Ticket)
+	addNumber(q, "Limit", uint64(f.Limit))
+	addTime(q, "Since", f.Since)
+	addTime(q, "Until", f.Until)
+	err = c.do(ctx, http.MethodGet, "/v1/audit?"+q.Encode(), nil, &trail)
+	return trail, err
+}
+
+func addValue(q url.Values, key, value string) {
+	if value != "" {
+		q.Set(key, value)
+	}
+}
+
+func addNumber(q url.Values, key string, n uint64) {
+	if n > 0 {
+		q.Set(key, strconv.FormatUint(n, 10))
+	}
+}
+
+func addTime(q url.Values, key string, t time.Time) {
+	if !t.IsZero() {
+		q.Set(key, t.Format(time.RFC3339))
+	}
+}
+
+// do tries the servers in turn. All calls of the API may be repeated: job keys
+// and ticket numbers make repeats harmless.
+func (c *Client) do(ctx context.Context, method, path string, body, answer any) (err error) {
+	var data []byte
+	if body != nil {
+		if data, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	unknown := false
+	for _, server := range c.servers {
+		err = c.once(ctx, method, server+path, data, answer)
+		known, final := isFinal(err)
+		if final {
+			return err
+		}
+		unknown = unknown || (known && err.(replier.Error).Outcome == encoder.OutcomeUnknown)
+	}
+	if unknown {
+		return errors.Mark(err, errUnknown)
+	}
+	return errors.Mark(err, ErrUnavailable)
+}
+
+var errUnknown = errors.New("the outcome is unknown")
+
+// isFinal reports whether another server would not answer better.
+func isFinal(err error) (known, final bool) {
+	if err == nil {
+		return true, true
+	}
+	var e replier.Error
+	if !errors.As(err, &e) {
+		return false, false
+	}
+	switch e.Code {
+	case "LedgerUnavailable", "Busy", "Internal", "OutcomeUnknown", "Stopping":
+		return true, false
+	}
+	return true, true
+}
+
+func (c *Client) once(ctx context.Context, method, target string, data []byte, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return json.Unmarshal(body, answer)
+	}
+	var e replier.Error
+	if json.Unmarshal(body, &e) != nil || e.Code == "" {
+		return errors.Newf("%s answered status %d", target, resp.StatusCode)
+	}
+	return e
+}
+
+// Kind classifies an error for an exit code.
+type Kind int
+
+// The kinds of errors.
+const (
+	KindNone Kind = iota
+	KindOther
+	KindRefused
+	KindNotFound
+	KindUnavailable
+	KindUnknown
+)
+
+// KindOf returns the kind of an error of this package.
+func KindOf(err error) Kind {
+	var e replier.Error
+	switch {
+	case err == nil:
+		return KindNone
+	case errors.Is(err, errUnknown):
+		return KindUnknown
+	case errors.Is(err, ErrUnavailable):
+		return KindUnavailable
+	case !errors.As(err, &e):
+		return KindOther
+	case e.Outcome == encoder.OutcomeUnknown:
+		return KindUnknown
+	case e.Code == "NotFound":
+		return KindNotFound
+	}
+	return KindRefused
+}
--- /dev/null
+++ b/internal/entry/parser/parser.go
@@ -0,0 +1,208 @@
+// Package parser reads YAML files strictly: every unknown key, wrong type or
+// missing unit is reported with file, line and key, all of them at once.
+//
+//	var job specifier.Job
+//	err := parser.Parse("job.yaml", data, &job)
+package parser
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// MaxBytes bounds a file, so that a wrong path can't fill the memory.
+const MaxBytes = 16 << 20
+
+// Fault is one mistake in a file.
+type Fault struct {
+	File    string
+	Line    int
+	Key     string
+	Message string
+}
+
+// Error returns the fault on one line.
+func (f Fault) Error() string {
+	if f.Key == "" {
+		return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Message)
+}
+
+// Faults are all mistakes found in a file.
+type Faults []Fault
+
+// Error returns a line for each fault.
+func (fs Faults) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Lines maps each key's path to the line where its value stands.
+type Lines map[string]int
+
+// Parse decodes the YAML in data into target, a pointer to a struct. Fields
+// that the file doesn't name keep the values that they have.
+func Parse(file string, data []byte, target any) (err error) {
+	_, err = ParseLines(file, data, target)
+	return err
+}
+
+// ParseLines is Parse that also tells where each key stands, for checks that
+// need more than one key.
+func ParseLines(file string, data []byte, target any) (lines Lines, err error) {
+	if len(data) > MaxBytes {
+		return nil, errors.Newf("%s: larger than %d bytes", file, MaxBytes)
+	}
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		return nil, errors.Newf("%s: %s", file, strings.TrimPrefix(err.Error(), "yaml: "))
+	}
+	d := decoder{file: file, lines: Lines{}}
+	if len(document.Content) == 0 {
+		return nil, Faults{{File: file, Line: 1, Message: "the file is empty"}}
+	}
+	d.decode(document.Content[0], reflect.ValueOf(target).Elem(), "")
+	if len(d.faults) > 0 {
+		return nil, d.faults
+	}
+	return d.lines, nil
+}
+
+type decoder struct {
+	file   string
+	faults Faults
+	lines  Lines
+}
+
+func (d *decoder) fail(n *yaml.Node, key, format string, args ...any) {
+	d.faults = append(d.faults, Fault{File: d.file, Line: n.Line, Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+func (d *decoder) decode(n *yaml.Node, v reflect.Value, key string) {
+	d.lines[key] = n.Line
+	if n.Kind == yaml.AliasNode {
+		d.fail(n, key, "aliases are not taken")
+		return
+	}
+	if _, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.decodeText(n, v, key)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(n, v, key)
+	case reflect.Slice:
+		d.decodeSlice(n, v, key)
+	default:
+		d.decodeScalar(n, v, key)
+	}
+}
+
+func (d *decoder) decodeText(n *yaml.Node, v reflect.Value, key string) {
+	if n.Kind != yaml.ScalarNode {
+		d.fail(n, key, "takes a single value")
+		return
+	}
+	u := v.Addr().Interface().(encoding.TextUnmarshaler)
+	if err := u.UnmarshalText([]byte(n.Value)); err != nil {
+		d.fail(n, key, "%s", err.Error())
+	}
+}
+
+func (d *decoder) decodeStruct(n *yaml.Node, v reflect.Value, key string) {
+	if n.Kind != yaml.MappingNode {
+		d.fail(n, key, "takes a mapping of keys")
+		return
+	}
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		name, value := n.Content[i], n.Content[i+1]
+		path := joinKey(key, name.Value)
+		field, ok := fieldByKey(v, name.Value)
+		switch {
+		case !ok:
+			d.fail(name, path, "unknown key%s", suggestKey(v, name.Value))
+		case seen[name.Value]:
+			d.fail(name, path, "the key stands twice")
+		default:
+			d.decode(value, field, path)
+		}
+		seen[name.Value] = true
+	}
+}
+
+func (d *decoder) decodeSlice(n *yaml.Node, v reflect.Value, key string) {
+	if n.Kind != yaml.SequenceNode {
+		d.fail(n, key, "takes a list")
+		return
+	}
+	list := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
+	for i, item := range n.Content {
+		d.decode(item, list.Index(i), fmt.Sprintf("%s[%d]", key, i))
+	}
+	v.Set(list)
+}
+
+func (d *decoder) decodeScalar(n *yaml.Node, v reflect.Value, key string) {
+	if n.Kind != yaml.ScalarNode {
+		d.fail(n, key, "takes a single value")
+		return
+	}
+	if v.Kind() == reflect.String && n.Tag == "!!str" {
+		v.SetString(n.Value)
+		return
+	}
+	if err := n.Decode(v.Addr().Interface()); err != nil || n.Tag == "!!null" {
+		d.fail(n, key, "%q is not %s", n.Value, kindName(v.Kind()))
+	}
+}
+
+func fieldByKey(v reflect.Value, key string) (reflect.Value, bool) {
+	t := v.Type()
+	for i := range t.NumField() {
+		if t.Field(i).IsExported() && t.Field(i).Name == key {
+			return v.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+func suggestKey(v reflect.Value, key string) string {
+	t := v.Type()
+	for i := range t.NumField() {
+		if strings.EqualFold(t.Field(i).Name, key) {
+			return fmt.Sprintf(" (did you mean %s?)", t.Field(i).Name)
+		}
+	}
+	return ""
+}
+
+func joinKey(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func kindName(k reflect.Kind) string {
+	switch k {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a text"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Uint, reflect.Uint64:
+		return "a whole number from 0"
+	}
+	return "a whole number"
+}
--- /dev/null
+++ b/internal/entry/server/changes.go
@@ -0,0 +1,155 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"daisyhead/internal/control/decider"
+	"daisyhead/internal/entry/presenter"
+	"daisyhead/internal/entry/specifier"
+	"daisyhead/internal/ledger/recorder"
+	"daisyhead/internal/ledger/reducer"
+)
+
+// verdictPoll is how often a published ticket's verdict is looked for.
+const verdictPoll = 25 * time.Millisecond
+
+type ticketRequest struct {
+	ticket specifier.Ticket
+	check  bool
+}
+
+func (s *Server) routeChanges() {
+	handle(s, "POST /v1/tickets", "ApplyTicket", decodeTicket, s.applyTicket)
+	handle(s, "GET /v1/tickets", "ListTickets", decodeNothing, s.listTickets)
+	handle(s, "GET /v1/tickets/{number}", "ShowTicket", decodeNumber, s.showTicket)
+	handle(s, "GET /v1/audit", "ReadAudit", decodeAuditFilter, s.readAudit)
+}
+
+func decodeNothing(*http.Request) (struct{}, error) { return struct{}{}, nil }
+
+func decodeTicket(r *http.Request) (request ticketRequest, err error) {
+	request.check = r.URL.Query().Get("Check") == "true"
+	request.ticket, err = decodeBody[specifier.Ticket](r)
+	return request, err
+}
+
+func decodeNumber(r *http.Request) (uint64, error) {
+	n, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+	if err != nil {
+		return 0, invalid(strconv.Quote(r.PathValue("number")) + " is not a ticket number")
+	}
+	return n, nil
+}
+
+func decodeAuditFilter(r *http.Request) (f presenter.AuditFilter, err error) {
+	q := r.URL.Query()
+	f.Object, f.Actor = q.Get("Object"), q.Get("Actor")
+	if f.Limit, err = optionalNumber(q.Get("Limit")); err != nil {
+		return f, err
+	}
+	ticket, err := optionalNumber(q.Get("Ticket"))
+	if err != nil {
+		return f, err
+	}
+	f.Ticket = uint64(ticket)
+	if f.Since, err = optionalTime(q.Get("Since")); err != nil {
+		return f, err
+	}
+	f.Until, err = optionalTime(q.Get("Until"))
+	return f, err
+}
+
+func optionalTime(text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return time.Time{}, invalid(strconv.Quote(text) + " is not a time such as 2026-12-04T09:00:00Z")
+	}
+	return t, nil
+}
+
+func (s *Server) applyTicket(ctx context.Context, r ticketRequest) (v presenter.Verdict, err error) {
+	if !identityOf(ctx).MayOperate() {
+		return v, forbidden("apply tickets")
+	}
+	if err := r.ticket.Validate(); err != nil {
+		return v, err
+	}
+	if r.check {
+		return s.checkTicket(ctx, r.ticket)
+	}
+	pctx, cancel := context.WithTimeout(ctx, DefaultWait)
+	defer cancel()
+	id := uuid.NewString()
+	if err := s.cfg.Control.PublishTicket(pctx, id, r.ticket); err != nil {
+		return v, errors.Mark(errors.Wrap(err, "publish ticket; apply it again with the same number"), recorder.ErrUnknown)
+	}
+	return s.awaitVerdict(pctx, id)
+}
+
+// checkTicket judges a ticket against the present state and changes nothing.
+func (s *Server) checkTicket(ctx context.Context, t specifier.Ticket) (v presenter.Verdict, err error) {
+	res, err := inspect(ctx, s.cfg.Control, func(state *reducer.State, _ decider.Liaison) reducer.Result {
+		return state.JudgeTicket(t)
+	})
+	if err != nil {
+		return v, err
+	}
+	return presenter.Verdict{Number: t.Number, Accepted: res.OK, Repeat: res.Repeat, Checked: true, Code: res.Code, Reason: res.Reason}, nil
+}
+
+func (s *Server) awaitVerdict(ctx context.Context, submissionID string) (v presenter.Verdict, err error) {
+	ticker := time.NewTicker(verdictPoll)
+	defer ticker.Stop()
+	for {
+		found, err := inspect(ctx, s.cfg.Control, func(state *reducer.State, _ decider.Liaison) *reducer.Verdict {
+			return state.VerdictOf(submissionID)
+		})
+		if err == nil && found != nil {
+			return presenter.Verdict{
+				Number: found.Number, Accepted: found.Accepted, Repeat: found.Repeat,
+				Code: found.Code, Reason: found.Reason, Warnings: found.Warnings,
+			}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return v, errors.Wrap(recorder.ErrUnknown, "the ticket is published and not judged yet; ask for it by number")
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) listTickets(ctx context.Context, _ struct{}) ([]presenter.Ticket, error) {
+	return inspect(ctx, s.cfg.Control, func(state *reducer.State, _ decider.Liaison) []presenter.Ticket {
+		return presenter.Tickets(state)
+	})
+}
+
+func (s *Server) showTicket(ctx context.Context, number uint64) (t presenter.Ticket, err error) {
+	known := false
+	t, err = inspect(ctx, s.cfg.Control, func(state *reducer.State, l decider.Liaison) (t presenter.Ticket) {
+		t, known = presenter.TicketDetail(state, l, s.cfg.Name, number)
+		return t
+	})
+	if err == nil && !known {
+		err = notFound("no accepted ticket has number " + strconv.FormatUint(number, 10))
+	}
+	return t, err
+}
+
+func (s *Server) readAudit(ctx context.Context, f presenter.AuditFilter) (trail presenter.AuditTrail, err error) {
+	if identityOf(ctx).Workspace != "" {
+		return trail, forbidden("read the audit trail")
+	}
+	return inspect(ctx, s.cfg.Control, func(state *reducer.State, _ decider.Liaison) presenter.AuditTrail {
+		return presenter.Audit(state, f)
+	})
+}
--- /dev/null
+++ b/internal/product/assembler/logging.go
@@ -0,0 +1,101 @@
+package assembler
+
+import (
+	"io"
+	"log/slog"
+
+	"k8s.io/klog/v2"
+
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+)
+
+// LogJSON makes klog write JSON lines.
+func LogJSON(w io.Writer, verbosity int) {
+	level := slog.Level(-verbosity)
+	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})))
+}
+
+// logEntry logs what became of a proposed entry, under stable keys.
+func (i *Instance) logEntry(e encoder.Entry, n int, results []reducer.Result, err error) {
+	keys := append([]any{"Kind", kindOf(e), "Term", e.Term}, subjectOf(e)...)
+	switch {
+	case err != nil:
+		i.logger.Info("Entry not recorded", append(keys, "Error", err.Error())...)
+	case !results[n].OK:
+		i.logger.Info("Entry refused", append(keys, "Code", results[n].Code, "Reason", results[n].Reason)...)
+	default:
+		i.logger.Info("Entry recorded", keys...)
+	}
+}
+
+func kindOf(e encoder.Entry) string {
+	switch {
+	case e.TermClaimed != nil:
+		return "TermClaimed"
+	case e.MembersChanged != nil:
+		return "MembersChanged"
+	case e.TicketReceived != nil:
+		return "TicketReceived"
+	case e.JobSubmitted != nil:
+		return "JobSubmitted"
+	case e.CancelRequested != nil:
+		return "CancelRequested"
+	case e.JobRefused != nil:
+		return "JobRefused"
+	case e.JobNoted != nil:
+		return "JobNoted"
+	case e.AttemptUnwound != nil:
+		return "AttemptUnwound"
+	case e.AttemptCommitted != nil:
+		return "AttemptCommitted"
+	case e.AttemptRunning != nil:
+		return "AttemptRunning"
+	case e.StopRequested != nil:
+		return "StopRequested"
+	case e.AttemptEnded != nil:
+		return "AttemptEnded"
+	case e.WorkerObserved != nil:
+		return "WorkerObserved"
+	case e.RequestClaimed != nil:
+		return "RequestClaimed"
+	case e.RequestEnded != nil:
+		return "RequestEnded"
+	case e.SnapshotWritten != nil:
+		return "SnapshotWritten"
+	}
+	return "Unknown"
+}
+
+// subjectOf returns the keys that name what an entry is about.
+func subjectOf(e encoder.Entry) []any {
+	switch {
+	case e.TicketReceived != nil:
+		return []any{"Ticket", e.TicketReceived.Ticket.Number, "Operator", e.TicketReceived.Ticket.Operator}
+	case e.JobSubmitted != nil:
+		return []any{"Job", e.JobSubmitted.ID, "Workspace", e.JobSubmitted.Job.Workspace}
+	case e.CancelRequested != nil:
+		return []any{"Job", e.CancelRequested.ID}
+	case e.JobRefused != nil:
+		return []any{"Job", e.JobRefused.ID, "Reason", e.JobRefused.Reason}
+	case e.JobNoted != nil:
+		return []any{"Job", e.JobNoted.ID, "Reason", e.JobNoted.Reason}
+	case e.AttemptUnwound != nil:
+		return []any{"Job", e.AttemptUnwound.ID, "Reason", e.AttemptUnwound.Reason}
+	case e.AttemptCommitted != nil:
+		return []any{"Job", e.AttemptCommitted.ID, "Attempt", e.AttemptCommitted.Attempt}
+	case e.AttemptRunning != nil:
+		return []any{"Job", e.AttemptRunning.ID, "Attempt", e.AttemptRunning.Attempt}
+	case e.StopRequested != nil:
+		return []any{"Job", e.StopRequested.ID, "Attempt", e.StopRequested.Attempt, "Cause", e.StopRequested.Cause, "Reason", e.StopRequested.Reason}
+	case e.AttemptEnded != nil:
+		return []any{"Job", e.AttemptEnded.ID, "Attempt", e.AttemptEnded.Attempt, "Result", e.AttemptEnded.Result, "Reason", e.AttemptEnded.Reason}
+	case e.WorkerObserved != nil:
+		return []any{"Worker", e.WorkerObserved.Worker, "Silent", e.WorkerObserved.Silent}
+	case e.RequestClaimed != nil:
+		return []any{"Workspace", e.RequestClaimed.Workspace, "Key", e.RequestClaimed.Key}
+	case e.RequestEnded != nil:
+		return []any{"Workspace", e.RequestEnded.Workspace, "Key", e.RequestEnded.Key, "Outcome", e.RequestEnded.Outcome}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/product/configurer/node.go
@@ -0,0 +1,56 @@
+package configurer
+
+import (
+	"encoding"
+	"reflect"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// pascalNode turns a value into YAML whose keys are the names of the fields,
+// in their order.
+func pascalNode(v any) (*yaml.Node, error) { return nodeOf(reflect.ValueOf(v)) }
+
+func nodeOf(v reflect.Value) (*yaml.Node, error) {
+	if m, ok := v.Interface().(encoding.TextMarshaler); ok {
+		text, err := m.MarshalText()
+		return &yaml.Node{Kind: yaml.ScalarNode, Value: string(text)}, err
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		return structNode(v)
+	case reflect.Slice:
+		return sliceNode(v)
+	}
+	n := &yaml.Node{}
+	err := n.Encode(v.Interface())
+	return n, err
+}
+
+func structNode(v reflect.Value) (*yaml.Node, error) {
+	n := &yaml.Node{Kind: yaml.MappingNode}
+	for i := range v.NumField() {
+		value, err := nodeOf(v.Field(i))
+		if err != nil {
+			return nil, err
+		}
+		key := &yaml.Node{Kind: yaml.ScalarNode, Value: v.Type().Field(i).Name}
+		n.Content = append(n.Content, key, value)
+	}
+	return n, nil
+}
+
+func sliceNode(v reflect.Value) (*yaml.Node, error) {
+	n := &yaml.Node{Kind: yaml.SequenceNode}
+	if v.Len() == 0 {
+		n.Style = yaml.FlowStyle
+	}
+	for i := range v.Len() {
+		item, err := nodeOf(v.Index(i))
+		if err != nil {
+			return nil, err
+		}
+		n.Content = append(n.Content, item)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/standin/taskrunner/requests.go
@@ -0,0 +1,257 @@
+package taskrunner
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"daisyhead/internal/platform/runner"
+	"daisyhead/internal/standin/observer"
+)
+
+// ThrottleRequest sets the speed of an attempt's tasks.
+type ThrottleRequest struct {
+	Term    uint64
+	Job     string
+	Attempt int
+	// Percent of full speed, 1 to 100.
+	Percent int
+}
+
+func (r *Runner) exchange(req *http.Request, q runner.ExchangeRequest) runner.ExchangeReply {
+	r.applyExchange(q)
+	timeout := time.NewTimer(min(time.Duration(q.WaitMS)*time.Millisecond, maxWait))
+	defer timeout.Stop()
+	for {
+		reply, changed := r.table()
+		if q.WaitMS <= 0 || reply.Version > q.Since || reply.Boot != q.Boot {
+			return reply
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			q.WaitMS = 0
+		case <-req.Context().Done():
+			return reply
+		}
+	}
+}
+
+func (r *Runner) applyExchange(q runner.ExchangeRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q.Term < r.term {
+		return
+	}
+	r.term = q.Term
+	if q.Boot != r.boot {
+		return
+	}
+	for _, l := range q.Leases {
+		e, ok := r.entries[runner.Reference{Job: l.Job, Attempt: l.Attempt}]
+		if ok && e.State == runner.TaskRunning && l.Until > e.leaseUntil {
+			e.leaseUntil = l.Until
+		}
+	}
+	for _, ref := range q.Forget {
+		if e, ok := r.entries[ref]; ok && e.State.Final() {
+			delete(r.entries, ref)
+		}
+	}
+}
+
+func (r *Runner) table() (runner.ExchangeReply, chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := runner.ExchangeReply{Boot: r.boot, ClockMS: r.clock(), Version: r.version, Term: r.term}
+	for _, e := range r.entries {
+		reply.Tasks = append(reply.Tasks, r.status(e))
+	}
+	return reply, r.changed
+}
+
+func (r *Runner) status(e *entry) runner.Status {
+	s := e.Status
+	s.ObservedAgoMS = r.cfg.UsageLag.Milliseconds()
+	if !s.State.Final() {
+		s.RanMS = e.ranMS()
+		s.MemoryMB = parsePayload(e.request.Payload).memoryMB
+	}
+	return s
+}
+
+// refusal checks what every message must satisfy; it returns "" when all is well.
+func (r *Runner) refusal(term uint64, boot string, notAfter int64) string {
+	if term < r.term {
+		return fmt.Sprintf("term %d is older than %d", term, r.term)
+	}
+	r.term = term
+	if boot != r.boot {
+		return "the worker was restarted"
+	}
+	if r.clock() > notAfter {
+		return "the message arrived too late"
+	}
+	return ""
+}
+
+func (r *Runner) reply(ok bool, reason string, e *entry) runner.Reply {
+	reply := runner.Reply{OK: ok, Reason: reason, Boot: r.boot, ClockMS: r.clock(), Version: r.version, Term: r.term}
+	if e != nil {
+		reply.Status = r.status(e)
+	}
+	return reply
+}
+
+func (r *Runner) reserve(_ *http.Request, q runner.ReserveRequest) runner.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reason := r.refusal(q.Term, q.Boot, q.NotAfter); reason != "" {
+		return r.reply(false, reason, nil)
+	}
+	ref := runner.Reference{Job: q.Job, Attempt: q.Attempt}
+	if e, ok := r.entries[ref]; ok {
+		return r.reply(e.State == runner.TaskReserved, "the attempt is known here as "+string(e.State), e)
+	}
+	if !r.hasRoom(q) {
+		return r.reply(false, "the worker has no room", nil)
+	}
+	e := &entry{request: q, holdUntil: q.HoldUntil, speed: 100}
+	e.Status = runner.Status{Job: q.Job, Attempt: q.Attempt, Tasks: q.Tasks, State: runner.TaskReserved, ProgressMS: q.ProgressMS}
+	r.entries[ref] = e
+	r.after(e, time.Duration(q.HoldUntil-r.clock())*time.Millisecond, func() {
+		if e.State == runner.TaskReserved {
+			r.end(e, runner.TaskExpired, observer.KindExpired, "the reservation ran out")
+		}
+	})
+	r.change()
+	return r.reply(true, "", e)
+}
+
+func (r *Runner) hasRoom(q runner.ReserveRequest) bool {
+	processors, memory, accelerators := q.Tasks*q.Processors, q.Tasks*q.MemoryMB, q.Tasks*q.Accelerators
+	for _, e := range r.entries {
+		if e.State.Final() {
+			continue
+		}
+		processors += e.request.Tasks * e.request.Processors
+		memory += e.request.Tasks * e.request.MemoryMB
+		accelerators += e.request.Tasks * e.request.Accelerators
+	}
+	return processors <= r.cfg.Processors && memory <= r.cfg.MemoryMB && accelerators <= r.cfg.Accelerators
+}
+
+// after runs f under the lock once the time has passed.
+func (r *Runner) after(e *entry, d time.Duration, f func()) {
+	e.timers = append(e.timers, time.AfterFunc(max(d, 0), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		f()
+	}))
+}
+
+func (r *Runner) startTasks(_ *http.Request, q runner.StartRequest) runner.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[runner.Reference{Job: q.Job, Attempt: q.Attempt}]
+	if reason := r.refusal(q.Term, q.Boot, q.NotAfter); reason != "" {
+		return r.reply(false, reason, e)
+	}
+	if e == nil {
+		return r.reply(false, "nothing is reserved for the attempt", nil)
+	}
+	if e.State != runner.TaskReserved {
+		return r.reply(e.State == runner.TaskRunning, "the attempt is "+string(e.State), e)
+	}
+	e.stopTimers()
+	e.State, e.Started, e.startedAt, e.leaseUntil = runner.TaskRunning, true, time.Now(), q.LeaseUntil
+	r.observe(e, observer.KindStarted)
+	r.watchLease(e)
+	r.watchWork(e)
+	r.change()
+	return r.reply(true, "", e)
+}
+
+func (r *Runner) watchLease(e *entry) {
+	r.after(e, time.Duration(e.leaseUntil-r.clock())*time.Millisecond, func() {
+		if e.State != runner.TaskRunning {
+			return
+		}
+		if r.clock() < e.leaseUntil {
+			r.watchLease(e)
+			return
+		}
+		r.end(e, runner.TaskExpired, observer.KindExpired, "the lease ran out")
+	})
+}
+
+func (r *Runner) watchWork(e *entry) {
+	p := parsePayload(e.request.Payload)
+	if r.faults.FailAll || p.fail {
+		r.after(e, min(p.run, 100*time.Millisecond), func() {
+			if e.State == runner.TaskRunning {
+				r.end(e, runner.TaskFailed, observer.KindFailed, "exit status 1")
+			}
+		})
+		return
+	}
+	left := p.run - time.Duration(e.ProgressMS)*time.Millisecond
+	r.after(e, max(left, 0)*100/time.Duration(e.speed), func() {
+		if e.State == runner.TaskRunning {
+			r.end(e, runner.TaskFinished, observer.KindFinished, "")
+		}
+	})
+}
+
+func (r *Runner) stopTasks(_ *http.Request, q runner.StopRequest) runner.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q.Term < r.term {
+		return r.reply(false, "an older term", nil)
+	}
+	r.term = q.Term
+	ref := runner.Reference{Job: q.Job, Attempt: q.Attempt}
+	e, ok := r.entries[ref]
+	if !ok {
+		// Remembered, so that a reservation which is still on its way is refused.
+		e = &entry{speed: 100, Status: runner.Status{Job: q.Job, Attempt: q.Attempt, State: runner.TaskStopped, Reason: "never reserved"}}
+		r.entries[ref] = e
+		r.change()
+		return r.reply(true, "", e)
+	}
+	if e.State.Final() {
+		return r.reply(true, "", e)
+	}
+	if q.Checkpoint && e.State == runner.TaskRunning && r.cfg.CheckpointTime > 0 {
+		r.after(e, r.cfg.CheckpointTime, func() { r.stopNow(e, true) })
+		return r.reply(true, "", e)
+	}
+	r.stopNow(e, q.Checkpoint)
+	return r.reply(true, "", e)
+}
+
+func (r *Runner) stopNow(e *entry, checkpoint bool) {
+	if e.State.Final() {
+		return
+	}
+	if checkpoint && e.State == runner.TaskRunning {
+		e.ProgressMS += e.ranMS()
+	}
+	r.end(e, runner.TaskStopped, observer.KindStopped, "stopped as asked")
+}
+
+func (r *Runner) throttle(_ *http.Request, q ThrottleRequest) runner.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[runner.Reference{Job: q.Job, Attempt: q.Attempt}]
+	if q.Term < r.term || e == nil || e.State != runner.TaskRunning || q.Percent < 1 || q.Percent > 100 {
+		return r.reply(false, "no such running tasks, an older term or a wrong percentage", e)
+	}
+	e.ProgressMS += e.ranMS()
+	e.startedAt, e.speed = time.Now(), q.Percent
+	e.stopTimers()
+	r.watchLease(e)
+	r.watchWork(e)
+	r.change()
+	return r.reply(true, "", e)
+}
