Let guarantees be claimed past the workspace's own borrowers, drain before giving shares up

Cause: in the demonstration's records, a claim waited 3 s because its own workspace's borrowed jobs had used the quota; small jobs took the workspace's large shape; retries went back to the worker that fails everything; starts under way were counted as borrowers; and a leaving instance lost its share of the minions' slots while requests were queued, so its stop took 22 s and cut them. Change: quota counts borrowers only up to a claim, small jobs claim last, reservations under way keep their claim, jobs avoid workers where they or the last job failed, a leaving instance stays a member until it is drained.

--- a/internal/control/decider/planning.go
+++ b/internal/control/decider/planning.go
@@ -30,14 +30,14 @@
 func (m *Model) planInput() planner.Input {
 	in := planner.Input{
 		State: m.state, NowMS: m.at.WallMS, Ready: make(map[string]bool, len(m.workers)),
-		Pending: make(map[string][]encoder.Placement, len(m.pending)),
+		Pending: make(map[string]planner.Pending, len(m.pending)),
 		Recheck: m.plannedRev != m.state.Revision,
 	}
 	for name, w := range m.workers {
 		in.Ready[name] = m.answers(w) && m.at.MonoMS >= w.avoidMS
 	}
 	for id, p := range m.pending {
-		in.Pending[id] = p.start.Placements
+		in.Pending[id] = planner.Pending{Claim: p.start.Claim, Placements: p.start.Placements}
 	}
 	return in
 }
--- a/internal/control/decider/terms.go
+++ b/internal/control/decider/terms.go
@@ -91,6 +91,7 @@
 }
 
 // changeMembers proposes the set of instances that share the minions' limits.
+// A leaving instance keeps its share until it is drained.
 func (m *Model) changeMembers() {
 	if !m.mayDecide() {
 		return
@@ -100,7 +101,7 @@
 		silent := m.at.MonoMS - p.heardMS
 		stays := m.state.IsMember(name) && silent <= m.cfg.MemberTimeoutMS
 		joins := p.Ready && silent <= m.cfg.HolderTimeoutMS
-		if name != m.cfg.Name && !p.Leaving && (stays || joins) {
+		if name != m.cfg.Name && !p.Drained && (stays || (joins && !p.Leaving)) {
 			want = append(want, name)
 		}
 	}
--- a/internal/control/planner/drain.go
+++ b/internal/control/planner/drain.go
@@ -11,7 +11,7 @@
 // last moment.
 func (p *pass) drainDomains() {
 	for _, a := range p.actives {
-		if a.stopping || a.attempt.Number == 0 {
+		if a.stopping || a.pending {
 			continue
 		}
 		domain := p.outDomain(a)
--- a/internal/control/planner/guarantees.go
+++ b/internal/control/planner/guarantees.go
@@ -129,7 +129,8 @@
 }
 
 // packUnclaimed keeps a place for each unclaimed shape: on free workers as far
-// as they go, else on workers whose work may be stopped.
+// as they go, else on workers whose work may be stopped, and on workers whose
+// last job failed only when there is no other place.
 func (p *pass) packUnclaimed(hard placer.Free) {
 	var open []*shape
 	for _, s := range p.shapes {
@@ -137,8 +138,9 @@
 			open = append(open, s)
 		}
 	}
-	open = p.packOn(hard, p.freeSoon().Floor(hard), open)
-	p.packOn(hard, hard.Clone(), open)
+	open = p.packOn(hard, p.freeSoon().Floor(hard), open, p.doubtful)
+	open = p.packOn(hard, hard.Clone(), open, p.doubtful)
+	p.packOn(hard, hard.Clone(), open, p.closed)
 }
 
 // freeSoon is what is free once the attempts that are stopping have stopped.
@@ -152,12 +154,15 @@
 	return soon
 }
 
-func (p *pass) packOn(hard, room placer.Free, shapes []*shape) (unplaced []*shape) {
+func (p *pass) packOn(hard, room placer.Free, shapes []*shape, closed []bool) (unplaced []*shape) {
+	if len(shapes) == 0 {
+		return nil
+	}
 	list := make([]placer.Shape, len(shapes))
 	for i, s := range shapes {
 		list[i] = s.Shape
 	}
-	packing := p.fleet.Pack(room, list, placer.Options{Closed: p.closed})
+	packing := p.fleet.Pack(room, list, placer.Options{Closed: closed})
 	for i, s := range shapes {
 		if packing.Places[i] == nil {
 			unplaced = append(unplaced, s)
@@ -209,11 +214,14 @@
 		if s.room == nil || !p.covers(s, j) {
 			continue
 		}
-		places, ok := p.fleet.Place(s.room, placer.ForJob(j.Spec), placer.Options{Closed: p.closed})
+		places, ok := p.place(j, s.room)
 		if !ok {
 			continue
 		}
 		if p.covered(p.free, places) {
+			if p.freeQuota(j) {
+				return true
+			}
 			p.claim(j, s, places)
 			return true
 		}
@@ -229,6 +237,53 @@
 	return true
 }
 
+// claimsFirst reports whether the job should use a guarantee even where other
+// workers are free: when it is urgent, may run only once, or takes most of a
+// shape. Smaller work leaves the shape whole as long as it can.
+func (p *pass) claimsFirst(j *reducer.Job) bool {
+	if j.Spec.Urgent || j.Spec.NonIdempotent {
+		return true
+	}
+	return slices.ContainsFunc(p.shapes, func(s *shape) bool {
+		return p.covers(s, j) && 2*j.Spec.TotalAccelerators() > s.Request.Tasks*s.Request.Each.Accelerators
+	})
+}
+
+// freeQuota stops borrowers of the job's own workspace that keep it from
+// claiming within the quota. It returns false when the claim can start: a
+// guarantee goes before the quota when nothing is left to stop.
+func (p *pass) freeQuota(j *reducer.Job) (stopped bool) {
+	beyond := p.beyondQuota(j)
+	if beyond <= 0 {
+		return false
+	}
+	var own []*active
+	for _, a := range p.actives {
+		if a.job.Spec.Workspace != j.Spec.Workspace || !a.reclaimable || a.pending {
+			continue
+		}
+		if a.stopping {
+			beyond -= a.job.Spec.TotalAccelerators()
+			stopped = true
+			continue
+		}
+		own = append(own, a)
+	}
+	slices.SortStableFunc(own, func(a, b *active) int { return cmp.Compare(p.lossOf(a), p.lossOf(b)) })
+	for _, a := range own {
+		if beyond <= 0 {
+			break
+		}
+		p.stop(a, encoder.StopReclaim, fmt.Sprintf("job %s of the same workspace claims a guarantee and the quota is used up", j.ID))
+		beyond -= a.job.Spec.TotalAccelerators()
+		stopped = true
+	}
+	if stopped {
+		p.note(j, "borrowed work of the same workspace is being stopped, since its quota is used up")
+	}
+	return stopped
+}
+
 // claimPlace is a place inside a shape that borrowers still use.
 type claimPlace struct {
 	shape  *shape
@@ -283,7 +338,7 @@
 	var list []*active
 	for _, a := range p.actives {
 		onNode := slices.ContainsFunc(a.places, func(pl placer.Place) bool { return pl.Node == node })
-		if onNode && a.reclaimable && !a.stopping {
+		if onNode && a.reclaimable && !a.stopping && !a.pending {
 			list = append(list, a)
 		}
 	}
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -40,11 +40,17 @@
 	// Ready reports whether a worker answers and may take new work.
 	Ready map[string]bool
 	// Pending are jobs whose reservations are under way.
-	Pending map[string][]encoder.Placement
+	Pending map[string]Pending
 	// Recheck asks for a check of all waiting jobs against the whole fleet.
 	Recheck bool
 }
 
+// Pending is a start whose reservations are under way.
+type Pending struct {
+	Claim      string
+	Placements []encoder.Placement
+}
+
 // Decision is what a pass decided.
 type Decision struct {
 	Starts   []Start
@@ -102,7 +108,9 @@
 	places      []placer.Place
 	reclaimable bool
 	stopping    bool
-	endMS       int64
+	// pending attempts hold reservations only; they can't be stopped yet.
+	pending bool
+	endMS   int64
 }
 
 type pass struct {
@@ -110,6 +118,8 @@
 	plan   Decision
 	fleet  *placer.Fleet
 	closed []bool
+	// doubtful marks closed nodes and those where the last job failed.
+	doubtful []bool
 	// free is what nothing uses now.
 	free placer.Free
 	// spare is what neither unstoppable work nor unclaimed guarantees use.
@@ -124,7 +134,7 @@
 
 func newPass(in Input) *pass {
 	p := &pass{in: in, fleet: in.State.Fleet(), usage: map[string]int{}}
-	p.closed = p.closedNodes()
+	p.closed, p.doubtful = p.closedNodes()
 	p.free = p.fleet.Totals()
 	p.collectActives()
 	p.perAccelerator = smallestShare(p.fleet)
@@ -132,13 +142,49 @@
 	return p
 }
 
-func (p *pass) closedNodes() []bool {
-	closed := p.in.State.ClosedNodes(p.fleet)
+func (p *pass) closedNodes() (closed, doubtful []bool) {
+	closed = p.in.State.ClosedNodes(p.fleet)
+	doubtful = make([]bool, len(closed))
 	for i, n := range p.fleet.Nodes {
 		h := p.in.State.Workers[n.Worker]
 		if !p.in.Ready[n.Worker] || h.Silent || h.UntilMS > p.in.NowMS {
 			closed[i] = true
 		}
+		doubtful[i] = closed[i] || h.Probation || len(h.FailedJobs) > 0
+	}
+	return closed, doubtful
+}
+
+// place finds a place for the job, if possible away from workers whose last
+// job failed. A job that may run only once goes nowhere else, and a job goes
+// back to a worker where it failed only when no other could ever hold it.
+func (p *pass) place(j *reducer.Job, free placer.Free) ([]placer.Place, bool) {
+	r := placer.ForJob(j.Spec)
+	places, ok := p.fleet.Place(free, r, placer.Options{Closed: p.without(p.doubtful, j.FailedOn)})
+	if ok || j.Spec.NonIdempotent {
+		return places, ok
+	}
+	elsewhere := placer.Options{Closed: p.without(p.closed, j.FailedOn)}
+	places, ok = p.fleet.Place(free, r, elsewhere)
+	if ok || len(j.FailedOn) == 0 {
+		return places, ok
+	}
+	if _, exists := p.fleet.Place(p.fleet.Totals(), r, elsewhere); exists {
+		return nil, false
+	}
+	return p.fleet.Place(free, r, placer.Options{Closed: p.closed})
+}
+
+// without closes the named workers too.
+func (p *pass) without(closed []bool, workers []string) []bool {
+	if len(workers) == 0 {
+		return closed
+	}
+	closed = slices.Clone(closed)
+	for _, w := range workers {
+		if i := p.fleet.Index(w); i >= 0 {
+			closed[i] = true
+		}
 	}
 	return closed
 }
@@ -150,9 +196,9 @@
 			p.addActive(&active{job: j, attempt: a, stopping: j.Status == reducer.JobStopping}, a.Placements)
 			continue
 		}
-		if placements, ok := p.in.Pending[id]; ok {
-			pending := &reducer.Attempt{Placements: placements, CommittedMS: p.in.NowMS}
-			p.addActive(&active{job: j, attempt: pending}, placements)
+		if start, ok := p.in.Pending[id]; ok {
+			attempt := &reducer.Attempt{Claim: start.Claim, Placements: start.Placements, CommittedMS: p.in.NowMS}
+			p.addActive(&active{job: j, attempt: attempt, pending: true}, start.Placements)
 		}
 	}
 }
@@ -233,22 +279,33 @@
 			return
 		}
 	}
-	if reason := p.overQuota(j); reason != "" {
-		p.note(j, reason)
+	quota := p.quotaLeft(j)
+	if !p.claimsFirst(j) && quota && p.startBorrowed(j) {
 		return
 	}
-	if p.startClaim(j) || p.startBorrowed(j) || p.reclaimForUrgent(j) {
+	if p.startClaim(j) {
+		return
+	}
+	if !quota {
+		p.note(j, "the quota of workspace "+j.Spec.Workspace+" is used up by its running jobs")
+		return
+	}
+	if p.startBorrowed(j) || p.reclaimForUrgent(j) {
 		return
 	}
 	p.reserve(j)
 }
 
-func (p *pass) overQuota(j *reducer.Job) string {
-	w := p.in.State.Workspaces[j.Spec.Workspace].Spec
-	if w.QuotaAccelerators == 0 || p.usage[w.Name]+j.Spec.TotalAccelerators() <= w.QuotaAccelerators {
-		return ""
+// quotaLeft reports whether the job fits into what its workspace's quota leaves.
+func (p *pass) quotaLeft(j *reducer.Job) bool { return p.beyondQuota(j) <= 0 }
+
+// beyondQuota returns how many accelerators too many the job would take.
+func (p *pass) beyondQuota(j *reducer.Job) int {
+	quota := p.in.State.Workspaces[j.Spec.Workspace].Spec.QuotaAccelerators
+	if quota == 0 {
+		return 0
 	}
-	return "the quota of workspace " + w.Name + " is used up by its running jobs"
+	return p.usage[j.Spec.Workspace] + j.Spec.TotalAccelerators() - quota
 }
 
 func (p *pass) start(j *reducer.Job, places []placer.Place, claim, reason string) {
@@ -275,10 +332,8 @@
 // be stopped and started again can use any free worker; other work only what
 // no guarantee needs.
 func (p *pass) startBorrowed(j *reducer.Job) bool {
-	r := placer.ForJob(j.Spec)
-	o := placer.Options{Closed: p.closed}
 	open := p.unreserved(j, p.free)
-	if places, ok := p.fleet.Place(open.Floor(p.spare), r, o); ok {
+	if places, ok := p.place(j, open.Floor(p.spare)); ok {
 		p.spare.Take(places)
 		p.start(j, places, "", "on workers that no guarantee needs")
 		return true
@@ -286,7 +341,7 @@
 	if !j.Repeatable() {
 		return false
 	}
-	places, ok := p.fleet.Place(open, r, o)
+	places, ok := p.place(j, open)
 	if !ok {
 		return false
 	}
--- a/internal/control/planner/reserve.go
+++ b/internal/control/planner/reserve.go
@@ -35,10 +35,10 @@
 func (p *pass) waitReason(j *reducer.Job) string {
 	r := placer.ForJob(j.Spec)
 	need := fmt.Sprintf("%d x %d accelerators, %d processors and %d MB within %s", r.Tasks, r.Each.Accelerators, r.Each.Processors, r.Each.MemoryMB, r.Within)
-	if _, ok := p.fleet.Place(p.fleet.Totals(), r, placer.Options{Closed: p.closed}); !ok {
+	if _, ok := p.place(j, p.fleet.Totals()); !ok {
 		return "the workers in service now, even empty, have no place for " + need
 	}
-	if _, ok := p.fleet.Place(p.free, r, placer.Options{Closed: p.closed}); ok && !j.Repeatable() {
+	if _, ok := p.place(j, p.free); ok && !j.Repeatable() {
 		return "free workers are kept for guarantees, and this job could not be stopped for them: " + need
 	}
 	return "no place is free for " + need
@@ -56,7 +56,7 @@
 		if !j.Repeatable() {
 			room = room.Floor(p.spare)
 		}
-		return p.fleet.Place(room, placer.ForJob(j.Spec), placer.Options{Closed: p.closed})
+		return p.place(j, room)
 	}
 	if _, ok := placeAfter(len(ends)); !ok {
 		return reservation{}, false
--- a/internal/control/planner/urgent.go
+++ b/internal/control/planner/urgent.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"daisyhead/internal/control/placer"
 	"daisyhead/internal/ledger/reducer"
 )
 
@@ -17,7 +16,7 @@
 			room.Take(a.places)
 		}
 	}
-	places, ok := p.fleet.Place(room, placer.ForJob(j.Spec), placer.Options{Closed: p.closed})
+	places, ok := p.place(j, room)
 	if !ok {
 		return false
 	}
--- a/internal/peer/encoder/encoder.go
+++ b/internal/peer/encoder/encoder.go
@@ -44,6 +44,9 @@
 	Epoch   uint64
 	Ready   bool
 	Leaving bool
+	// Drained is set by a leaving instance that has no request in flight and
+	// takes no more.
+	Drained bool
 	// LogAgeMS is the age of the instance's fold.
 	LogAgeMS int64
 	// SlotsUsed counts the requests in flight for each minion with any.
--- a/internal/product/assembler/assembler.go
+++ b/internal/product/assembler/assembler.go
@@ -58,11 +58,13 @@
 	servers   []*http.Server
 	listeners []net.Listener
 
-	view   atomic.Pointer[decider.View]
-	ready  atomic.Bool
-	leave  atomic.Bool
-	work   sync.WaitGroup
-	cancel context.CancelFunc
+	view  atomic.Pointer[decider.View]
+	ready atomic.Bool
+	leave atomic.Bool
+	// drained is set when a leaving instance has answered its last request.
+	drained atomic.Bool
+	work    sync.WaitGroup
+	cancel  context.CancelFunc
 }
 
 // New binds the listeners. Run must be called afterwards.
@@ -259,9 +261,15 @@
 		}
 	}
 	i.limiter.Close()
+	i.drained.Store(true)
+	i.messenger.Announce(run, peerHandler{i})
+	time.Sleep(announceTime)
 	return err
 }
 
+// announceTime lets the last heartbeat reach the peers.
+const announceTime = 50 * time.Millisecond
+
 // handoverTimeout bounds the wait for another instance to claim the term.
 const handoverTimeout = 3 * time.Second
 
--- a/internal/product/assembler/platform.go
+++ b/internal/product/assembler/platform.go
@@ -209,7 +209,7 @@
 	v := i.View()
 	return peerencoder.Heartbeat{
 		Name: i.name, Writer: i.writer, Term: v.Term, Next: v.Next, Epoch: v.Epoch,
-		Ready: i.ready.Load() && v.CaughtUp, Leaving: i.leave.Load(),
+		Ready: i.ready.Load() && v.CaughtUp, Leaving: i.leave.Load(), Drained: i.drained.Load(),
 		LogAgeMS:  time.Since(i.start).Milliseconds() - v.FreshMS,
 		SlotsUsed: i.limiter.Used(),
 	}
--- a/internal/product/demonstrator/script.go
+++ b/internal/product/demonstrator/script.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"daisyhead/internal/entry/presenter"
 	"daisyhead/internal/entry/specifier"
@@ -95,20 +97,24 @@
 	return nil
 }
 
-// submit submits the jobs whose names the filter picks.
+// submit submits the jobs whose names the filter picks, all at once.
 func (d *demo) submit(ctx context.Context, pick func(specifier.Job) bool) (count int, err error) {
+	var g errgroup.Group
+	var mu sync.Mutex
 	for _, j := range d.jobs {
 		if !pick(j) {
 			continue
 		}
-		job, err := d.submitOne(ctx, j)
-		if err != nil {
-			return count, err
-		}
-		d.ids[j.Name] = job.ID
 		count++
+		g.Go(func() error {
+			job, err := d.submitOne(ctx, j)
+			mu.Lock()
+			defer mu.Unlock()
+			d.ids[j.Name] = job.ID
+			return err
+		})
 	}
-	return count, nil
+	return count, g.Wait()
 }
 
 func (d *demo) submitOne(ctx context.Context, j specifier.Job) (job presenter.Job, err error) {
@@ -133,7 +139,7 @@
 }
 
 func (d *demo) fillFleet(ctx context.Context) error {
-	bad := d.fleet.workers[len(d.fleet.workers)-1]
+	bad := d.fleet.workers[0]
 	bad.runner.SetFaults(taskrunner.Faults{FailAll: true})
 	d.say("worker %s fails every task from now on", bad.name)
 	n, err := d.submit(ctx, func(j specifier.Job) bool { return !isClaim(j) })
@@ -163,14 +169,16 @@
 
 func (d *demo) cancelWave(ctx context.Context) error {
 	n := 0
+	var g errgroup.Group
 	for _, j := range d.jobs {
 		if !strings.HasPrefix(j.Name, "draft-") {
 			continue
 		}
-		if err := d.cancelOne(ctx, d.ids[j.Name]); err != nil {
-			return err
-		}
 		n++
+		g.Go(func() error { return d.cancelOne(ctx, d.ids[j.Name]) })
+	}
+	if err := g.Wait(); err != nil {
+		return err
 	}
 	d.say("%d jobs cancelled in a wave", n)
 	return nil
