Keep gangs' leases together, hold cleared workers, and never resume from an old checkpoint

Cause: fault cases and randomized schedules under virtual time found: a new holder acted on tables of its earlier term before they were reset; retries to a silent worker put off its lease's end for ever; the rest of a gang ran on for 16 s when one worker was cut off; two instances that read the log but not each other took the term from each other 40 times in a minute; a non-idempotent job that had lost its lease was started again from an older checkpoint; a claimant chose other workers in each pass and stopped the same borrower ten times a second. Change: the term's reset comes before anything is decided on its records; renewals stop after a failed exchange; a gang's leases end with its slowest confirmed worker; the holder shows in the ledger that it lives while an instance is silent; an attempt says whether its end was a checkpoint; cleared workers are held.

--- a/internal/control/decider/attempts.go
+++ b/internal/control/decider/attempts.go
@@ -25,6 +25,8 @@
 	total, reserved, running, finished, failed, ended, lost, unheard int
 
 	anyStarted bool
+	// unsaved counts workers whose tasks ran and did not end in a checkpoint.
+	unsaved    int
 	worker     string
 	reason     string
 	progressMS int64
@@ -137,6 +139,9 @@
 
 func (t *tally) add(worker string, s runner.Status) {
 	t.anyStarted = t.anyStarted || s.Started
+	if s.Started && !s.Checkpointed {
+		t.unsaved++
+	}
 	t.progressMS = min(t.progressMS, s.ProgressMS)
 	t.ranMS = max(t.ranMS, s.RanMS)
 	switch s.State {
@@ -268,6 +273,7 @@
 	}
 	if j.Spec.Checkpointable && t.lost == 0 {
 		ended.ProgressMS = t.progressMS
+		ended.Checkpointed = t.unsaved == 0
 	}
 	if ended.Result != encoder.ResultFailed && ended.Result != encoder.ResultLost {
 		ended.Worker = ""
--- /dev/null
+++ b/internal/control/decider/harness_test.go
@@ -0,0 +1,518 @@
+package decider_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"daisyhead/internal/control/decider"
+	"daisyhead/internal/control/dispatcher"
+	"daisyhead/internal/entry/specifier"
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/recorder"
+	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/snapshotter"
+	peerencoder "daisyhead/internal/peer/encoder"
+	"daisyhead/internal/platform/appender"
+	"daisyhead/internal/platform/runner"
+	"daisyhead/internal/standin/logkeeper"
+	"daisyhead/internal/standin/observer"
+	"daisyhead/internal/standin/taskrunner"
+)
+
+// network carries HTTP in memory between named hosts, with faults.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	cut      map[[2]string]bool
+	// delay holds requests with the given path back before they arrive.
+	delay map[string]time.Duration
+}
+
+// transport is one host's side of the network.
+type transport struct {
+	net  *network
+	from string
+}
+
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.net.mu.Lock()
+	h, cut, delay := t.net.handlers[r.URL.Host], t.net.isCut(t.from, r.URL.Host), t.net.delay[r.URL.Path]
+	t.net.mu.Unlock()
+	time.Sleep(time.Millisecond + delay)
+	if h == nil || cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	// The request arrives although the sender may have given up meanwhile.
+	in := httptest.NewRequestWithContext(context.WithoutCancel(r.Context()), r.Method, r.URL.String(), bytes.NewReader(body))
+	done := make(chan *httptest.ResponseRecorder, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, in)
+		done <- w
+	}()
+	select {
+	case w := <-done:
+		if t.net.isCutNow(t.from, r.URL.Host) {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		return w.Result(), nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+func (n *network) isCut(a, b string) bool {
+	return n.cut[[2]string{a, b}] || n.cut[[2]string{b, a}]
+}
+
+func (n *network) isCutNow(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isCut(a, b)
+}
+
+func (n *network) listen(host string, h http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[host] = h
+}
+
+func (n *network) setCut(cut bool, pairs ...[2]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range pairs {
+		n.cut[p] = cut
+	}
+}
+
+func (n *network) setDelay(path string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay[path] = d
+}
+
+// instance is the control part of one entry instance.
+type instance struct {
+	name     string
+	b        *bench
+	start    time.Time
+	loop     *decider.Loop
+	recorder *recorder.Recorder
+	ledger   *appender.Client
+	snaps    *appender.Client
+	cancel   context.CancelFunc
+	mu       sync.Mutex
+	view     *decider.View
+	frozen   bool
+	alarms   []string
+}
+
+// bench is a log, workers and instances under virtual time.
+type bench struct {
+	t         *testing.T
+	net       *network
+	log       *logkeeper.Keeper
+	workers   map[string]*taskrunner.Runner
+	mu        sync.Mutex
+	instances []*instance
+	rng       *rand.Rand
+	outages   []observer.Outage
+	domains   map[string]string
+	boots     int
+	ctx       context.Context
+}
+
+const (
+	leaseMS  = 4000
+	lostMS   = 9000
+	freshMS  = 2000
+	holderMS = 1500
+	startMS  = 4000
+	lifeMS   = 2000
+)
+
+func newBench(t *testing.T, seed uint64, log logkeeper.Config) *bench {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		// Every goroutine of the bubble must end.
+		cancel()
+		time.Sleep(2 * time.Minute)
+	})
+	b := &bench{
+		t: t, log: logkeeper.New(log), workers: map[string]*taskrunner.Runner{}, ctx: ctx, domains: map[string]string{},
+		net: &network{handlers: map[string]http.Handler{}, cut: map[[2]string]bool{}, delay: map[string]time.Duration{}},
+		rng: rand.New(rand.NewPCG(seed, 1)),
+	}
+	b.net.handlers["10.0.0.1:1"] = b.log
+	return b
+}
+
+const logAddress = "10.0.0.1:1"
+
+// fleet starts workers with 8 accelerators, two in each rack, two racks in
+// each of two domains, and returns their ticket.
+func (b *bench) fleet() specifier.Ticket {
+	t := specifier.Ticket{Number: 1, Operator: "op"}
+	for d := range 2 {
+		domain := fmt.Sprintf("d%d", d)
+		t.Domains = append(t.Domains, specifier.Domain{Name: domain, Region: "r", State: specifier.DomainIn})
+		for r := range 2 {
+			g := specifier.WorkerGroup{Name: fmt.Sprintf("%s-r%d", domain, r), Domain: domain, Rack: fmt.Sprintf("%s-r%d", domain, r)}
+			for w := range 2 {
+				spec := specifier.Worker{
+					Name: fmt.Sprintf("%s-w%d", g.Name, w), Address: fmt.Sprintf("10.1.%d.%d:1", d, 10*r+w), Processors: 64, MemoryMB: 64000, Accelerators: 8,
+				}
+				run := taskrunner.New(taskrunner.Config{Name: spec.Name, Processors: 64, MemoryMB: 64000, Accelerators: 8, CheckpointTime: 200 * time.Millisecond})
+				b.workers[spec.Name] = run
+				b.net.listen(spec.Address, run)
+				b.domains[spec.Name] = domain
+				g.Workers = append(g.Workers, spec)
+			}
+			t.WorkerGroups = append(t.WorkerGroups, g)
+		}
+	}
+	t.Workspaces = []specifier.Workspace{
+		{Name: "a", Guarantees: []specifier.Guarantee{{Name: "pair", Tasks: 2, Accelerators: 8, Within: specifier.WithinRack, Count: 1}}},
+		{Name: "b"},
+	}
+	return t
+}
+
+func (b *bench) startInstance(name string) *instance {
+	b.boots++
+	ctx, cancel := context.WithCancel(b.ctx)
+	tr := transport{b.net, name}
+	i := &instance{
+		name: name, b: b, start: time.Now(), cancel: cancel, view: &decider.View{},
+		ledger: appender.New(tr, []string{logAddress}, "ledger"), snaps: appender.New(tr, []string{logAddress}, "snapshots"),
+	}
+	writer := fmt.Sprintf("%s/%d", name, b.boots)
+	i.recorder = recorder.New(recorder.Config{Writer: writer, AppendTimeout: time.Second, AppendsPerSecond: 50, AppendBurst: 50}, i.ledger)
+	state, err := snapshotter.Load(ctx, i.snaps)
+	if err != nil {
+		b.t.Fatalf("load snapshot: %v", err)
+	}
+	if state == nil {
+		state = reducer.New()
+	}
+	d := &dispatcher.Dispatcher{Recorder: i.recorder, Workers: runner.New(tr), Snapshots: i, Publisher: i, Alarms: i, Start: i.start}
+	model := decider.New(decider.Config{
+		Name: name, Writer: writer, LeaseMS: leaseMS, RenewMS: 1000, MessageLifeMS: lifeMS, HoldMS: 4000, StartWindowMS: 3000,
+		StartLeaseMS: startMS, FreshMS: freshMS, HolderTimeoutMS: holderMS, MemberTimeoutMS: 3000, LostAfterMS: lostMS, MarginMS: 500,
+		PlanMS: 50, SnapshotMS: 5000, SnapshotRecords: 40,
+	}, state)
+	i.loop = decider.NewLoop(model, d, i.start, 100*time.Millisecond)
+	d.Attach(ctx, i.loop.Send)
+	next := state.Next
+	f := &recorder.Follower{Log: i.ledger, Loader: i, Sink: i, Wait: 300 * time.Millisecond, Timeout: time.Second}
+	go i.loop.Run(ctx)
+	go i.recorder.Run(ctx)
+	go f.Run(ctx, next)
+	go i.relayConfig(ctx, appender.New(tr, []string{logAddress}, "config"))
+	go i.heartbeat(ctx, writer)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = append(b.instances, i)
+	return i
+}
+
+// live returns the instances that were not killed.
+func (b *bench) live() []*instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.instances)
+}
+
+// heartbeat tells the others about this instance, unless the network is cut.
+func (i *instance) heartbeat(ctx context.Context, writer string) {
+	for ctx.Err() == nil {
+		time.Sleep(250 * time.Millisecond)
+		v := i.View()
+		hb := peerencoder.Heartbeat{
+			Name: i.name, Writer: writer, Term: v.Term, Next: v.Next, Epoch: v.Epoch, Ready: v.CaughtUp,
+			LogAgeMS: time.Since(i.start).Milliseconds() - v.FreshMS,
+		}
+		for _, other := range i.b.live() {
+			if other != i && ctx.Err() == nil && !i.isFrozen() && !i.b.net.isCutNow(i.name, other.name) {
+				go other.loop.Send(decider.PeerMsg{Heartbeat: hb})
+			}
+		}
+	}
+}
+
+func (i *instance) relayConfig(ctx context.Context, log *appender.Client) {
+	for ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		v := i.View()
+		if !v.IsHolder {
+			continue
+		}
+		rctx, cancel := context.WithTimeout(ctx, time.Second)
+		page, err := log.Read(rctx, v.ConfigNext, 50, 0)
+		cancel()
+		if err != nil {
+			continue
+		}
+		msg := decider.ConfigReadMsg{}
+		for _, r := range page.Records {
+			received := encoder.TicketReceived{ConfigOffset: r.Offset}
+			if err := encoder.Unmarshal(r.Data, &received.Ticket); err != nil {
+				received.Fault = err.Error()
+			}
+			msg.Tickets = append(msg.Tickets, received)
+		}
+		i.loop.Send(msg)
+	}
+}
+
+func (i *instance) View() *decider.View {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.view
+}
+
+func (i *instance) Publish(v *decider.View) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.view = v
+}
+
+func (i *instance) Records(records []recorder.Decoded, sent time.Time, caughtUp bool) {
+	msg := decider.RecordsReadMsg{SentMS: sent.Sub(i.start).Milliseconds(), CaughtUp: caughtUp}
+	for _, r := range records {
+		msg.Records = append(msg.Records, decider.ReadRecord(r))
+	}
+	i.loop.Send(msg)
+}
+
+func (i *instance) Loaded(s *reducer.State) { i.loop.Send(decider.StateLoadedMsg{State: s}) }
+
+func (i *instance) Alarm(name, detail string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.alarms = append(i.alarms, name+": "+detail)
+}
+
+func (i *instance) Load(ctx context.Context) (*reducer.State, error) {
+	return snapshotter.Load(ctx, i.snaps)
+}
+
+func (i *instance) Write(ctx context.Context, next uint64, data []byte) (uint64, error) {
+	return snapshotter.Write(ctx, i.snaps, next, data)
+}
+
+func (i *instance) kill() {
+	i.cancel()
+	i.b.mu.Lock()
+	defer i.b.mu.Unlock()
+	i.b.instances = slices.DeleteFunc(i.b.instances, func(o *instance) bool { return o == i })
+}
+
+func (i *instance) isFrozen() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.frozen
+}
+
+// freeze stops the control loop for a while, as SIGSTOP does.
+func (i *instance) freeze(d time.Duration) {
+	i.mu.Lock()
+	i.frozen = true
+	i.mu.Unlock()
+	go i.loop.Send(decider.InspectMsg{Done: make(chan struct{}), Read: func(*reducer.State, decider.Liaison) {
+		time.Sleep(d)
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.frozen = false
+	}})
+}
+
+// inspect reads an instance's state.
+func (i *instance) inspect(read func(*reducer.State)) {
+	done := make(chan struct{})
+	if i.loop.Send(decider.InspectMsg{Done: done, Read: func(s *reducer.State, _ decider.Liaison) { read(s) }}) {
+		<-done
+	}
+}
+
+func (b *bench) holder() *instance {
+	for _, i := range b.live() {
+		if i.View().IsHolder && !i.isFrozen() {
+			return i
+		}
+	}
+	return nil
+}
+
+// await waits until the condition holds, or fails the test.
+func (b *bench) await(what string, limit time.Duration, ok func() bool) {
+	b.t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	b.t.Errorf("not within %v: %s", limit, what)
+	b.dump()
+}
+
+func (b *bench) dump() {
+	for _, i := range b.live() {
+		i.inspect(func(s *reducer.State) {
+			b.t.Logf("%s: term %d of %s, next %d, alarms %v", i.name, s.Term, s.Holder, s.Next, i.alarms)
+			for _, id := range reducer.SortedKeys(s.Jobs) {
+				j := s.Jobs[id]
+				b.t.Logf("  %s %s %s", j.Spec.Name, j.Status, j.WaitingFor)
+				for _, e := range j.Events {
+					b.t.Logf("    %s %s", time.UnixMilli(e.AtMS).UTC().Format("04:05.000"), e.Text)
+				}
+			}
+		})
+		return
+	}
+}
+
+// settled waits for a holder that has folded the fleet's ticket.
+func (b *bench) settle(t specifier.Ticket) {
+	b.t.Helper()
+	b.publish(t)
+	b.await("a holder with the ticket in force", 10*time.Second, func() bool { return b.accepted(t.Number) })
+}
+
+func (b *bench) accepted(number uint64) (ok bool) {
+	if h := b.holder(); h != nil {
+		h.inspect(func(s *reducer.State) { _, ok = s.Tickets[number] })
+	}
+	return ok
+}
+
+func (b *bench) publish(t specifier.Ticket) {
+	data, err := encoder.Marshal(t)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	log := appender.New(transport{b.net, "operator"}, []string{logAddress}, "config")
+	// An answer may be lost; the same number with the same content is a repeat.
+	for {
+		ctx, cancel := context.WithTimeout(b.ctx, time.Second)
+		_, err := log.Append(ctx, data)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// submit submits a job at any live instance and returns its ID.
+func (b *bench) submit(j specifier.Job) string {
+	b.t.Helper()
+	j.Key = j.Name
+	j = j.Normalize()
+	b.propose(encoder.Entry{JobSubmitted: &encoder.JobSubmitted{ID: j.ID(), By: "caller", Job: j}})
+	return j.ID()
+}
+
+func (b *bench) cancelJob(id string) {
+	b.propose(encoder.Entry{CancelRequested: &encoder.CancelRequested{ID: id, By: "caller"}})
+}
+
+// propose tries until an instance has recorded the entry.
+func (b *bench) propose(e encoder.Entry) {
+	b.t.Helper()
+	for range 40 {
+		i := b.any()
+		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
+		e.At = time.Now().UnixMilli()
+		_, err := i.recorder.Propose(ctx, e)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+	b.t.Fatal("no instance could record the entry")
+}
+
+func (b *bench) job(id string) (copied reducer.Job) {
+	for _, i := range b.live() {
+		if i.isFrozen() {
+			continue
+		}
+		i.inspect(func(s *reducer.State) {
+			if j, ok := s.Jobs[id]; ok {
+				copied = *j
+			}
+		})
+		if copied.ID != "" {
+			return copied
+		}
+	}
+	return copied
+}
+
+func (b *bench) status(id string) reducer.JobStatus { return b.job(id).Status }
+
+func (b *bench) awaitStatus(id string, limit time.Duration, want reducer.JobStatus) {
+	b.t.Helper()
+	b.await(fmt.Sprintf("job %s is %s", id, want), limit, func() bool { return b.status(id) == want })
+}
+
+// judge fails the test if the workers saw a broken promise.
+func (b *bench) judge() {
+	b.t.Helper()
+	var events []observer.Event
+	for _, name := range reducer.SortedKeys(b.workers) {
+		events = append(events, b.workers[name].Events()...)
+	}
+	slices.SortStableFunc(events, func(x, y observer.Event) int { return x.At.Compare(y.At) })
+	r := observer.Judge(events, observer.Rules{
+		PartialBound: (startMS + 500) * time.Millisecond, DomainBound: (freshMS + lifeMS) * time.Millisecond,
+		Outages: b.outages, Domains: b.domains,
+	})
+	if r.RanTwice+r.PartialGangs+r.StartsInOutDomains > 0 {
+		b.t.Errorf("broken promises: %+v", r)
+		for _, e := range events {
+			b.t.Logf("  %s %s %s attempt %d on %s, %d of %d tasks", e.At.UTC().Format("04:05.000"), e.Name, e.Kind, e.Attempt, e.Worker, e.Tasks, e.GangTasks)
+		}
+		b.dump()
+	}
+}
+
+func (b *bench) startsOf(id string) (attempts int) {
+	seen := map[int]bool{}
+	for _, w := range b.workers {
+		for _, e := range w.Events() {
+			if e.Job == id && e.Kind == observer.KindStarted {
+				seen[e.Attempt] = true
+			}
+		}
+	}
+	return len(seen)
+}
+
+// workerOf returns a worker of the job's active attempt.
+func (b *bench) workerOf(id string) string {
+	j := b.job(id)
+	return j.Active().Placements[0].Worker
+}
+
+// any returns a live instance that the seed draws.
+func (b *bench) any() *instance {
+	live := b.live()
+	return live[b.rng.IntN(len(live))]
+}
--- a/internal/control/decider/model.go
+++ b/internal/control/decider/model.go
@@ -10,6 +10,7 @@
 package decider
 
 import (
+	"daisyhead/internal/control/planner"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
 	peerencoder "daisyhead/internal/peer/encoder"
@@ -60,15 +61,22 @@
 	freshMS  int64
 	leaving  bool
 
-	peers    map[string]peer
-	workers  map[string]*worker
-	pending  map[string]*pending
+	peers   map[string]peer
+	workers map[string]*worker
+	pending map[string]*pending
+	// clearing are the workers that are being cleared for waiting jobs.
+	clearing map[string]planner.Pending
 	seen     map[string]seenAttempt
 	proposed map[string]bool
 
-	// termSeen is the term whose start as holder was handled.
-	termSeen     uint64
-	holderSince  int64
+	// termSeen and holderName are the term and the holder that followTerm handled.
+	termSeen   uint64
+	holderName string
+	// suspects are instances that were taken for dead, with the time.
+	suspects    map[string]int64
+	holderSince int64
+	lastRenewMS int64
+	// holderSeenMS is when the ledger last showed that the holder lives.
 	holderSeenMS int64
 	workersRev   uint64
 	viewRev      uint64
@@ -90,19 +98,19 @@
 
 // New returns a model that goes on from the state.
 func New(cfg Config, state *reducer.State) Model {
-	return Model{
+	m := Model{
 		cfg: cfg, state: state, freshMS: -cfg.FreshMS - 1, viewRev: ^uint64(0), workersRev: ^uint64(0),
 		peers: map[string]peer{}, workers: map[string]*worker{}, pending: map[string]*pending{},
-		seen: map[string]seenAttempt{}, proposed: map[string]bool{},
+		suspects: map[string]int64{}, seen: map[string]seenAttempt{}, proposed: map[string]bool{},
 	}
+	m.syncWorkers()
+	return m
 }
 
 // Update handles one message and returns the effects to carry out.
 func (m Model) Update(at Instant, msg Msg) (Model, []Command) {
 	m.at, m.cmds = at, nil
 	m.handle(msg)
-	m.followTerm()
-	m.syncWorkers()
 	m.publish()
 	cmds := m.cmds
 	m.cmds = nil
@@ -147,6 +155,7 @@
 		return
 	}
 	m.changeMembers()
+	m.renewTerm()
 	m.watchWorkers()
 	m.reconcileAll()
 	m.plan()
@@ -161,6 +170,8 @@
 		m.caughtUp = true
 		m.freshMS = max(m.freshMS, msg.SentMS)
 	}
+	m.syncWorkers()
+	m.followTerm()
 	if len(msg.Records) == 0 || !m.mayDecide() {
 		return
 	}
@@ -181,6 +192,9 @@
 		return
 	}
 	results := m.state.Apply(r.Offset, r.Batch)
+	if r.Batch.Writer == m.state.Holder {
+		m.holderSeenMS = m.at.MonoMS
+	}
 	if r.Batch.Writer == m.cfg.Writer {
 		m.emit(ResolveCmd{Sequence: r.Batch.Sequence, Results: results})
 	}
@@ -192,6 +206,8 @@
 	}
 	m.state = msg.State
 	m.viewRev, m.workersRev = ^uint64(0), ^uint64(0)
+	m.syncWorkers()
+	m.followTerm()
 }
 
 // holds reports whether this process holds the term.
--- a/internal/control/decider/planning.go
+++ b/internal/control/decider/planning.go
@@ -22,6 +22,7 @@
 		return
 	}
 	decision := planner.Plan(m.planInput())
+	m.clearing = decision.Holds
 	m.planned, m.dirty, m.lastPlanMS, m.plannedRev = true, false, m.at.MonoMS, m.state.Revision
 	m.plans++
 	m.carryOut(decision)
@@ -36,6 +37,7 @@
 	for name, w := range m.workers {
 		in.Ready[name] = m.answers(w) && m.at.MonoMS >= w.avoidMS
 	}
+	in.Holds = m.clearing
 	for id, p := range m.pending {
 		in.Pending[id] = planner.Pending{Claim: p.start.Claim, Placements: p.start.Placements}
 	}
--- a/internal/control/decider/terms.go
+++ b/internal/control/decider/terms.go
@@ -18,9 +18,12 @@
 	if m.termSeen == m.state.Term {
 		return
 	}
-	m.termSeen = m.state.Term
+	if m.holderName != "" && m.holderName != m.state.Holder {
+		m.suspects[reducer.InstanceName(m.holderName)] = m.at.MonoMS
+	}
+	m.termSeen, m.holderName = m.state.Term, m.state.Holder
 	m.holderSeenMS = m.at.MonoMS
-	m.pending = map[string]*pending{}
+	m.pending, m.clearing = map[string]*pending{}, nil
 	m.seen = map[string]seenAttempt{}
 	if !m.holds() {
 		return
@@ -55,6 +58,38 @@
 	m.emit(ProposeCmd{Keys: []string{key}, Entries: []encoder.Entry{{At: m.at.WallMS, TermClaimed: claim}}})
 }
 
+// suspectMS is how long after an instance fell silent the holder still shows
+// in the ledger that it lives.
+const suspectMS = 10 * 60 * 1000
+
+// renewTerm shows in the ledger that the holder lives, as long as there may be
+// an instance that can read the ledger but doesn't hear the holder. Without it,
+// two such instances would take the term from each other again and again.
+func (m *Model) renewTerm() {
+	if !m.mayDecide() || m.at.MonoMS-m.lastRenewMS < m.cfg.HolderTimeoutMS/2 || !m.hasSuspects() {
+		return
+	}
+	m.lastRenewMS = m.at.MonoMS
+	m.propose("renew", encoder.Entry{TermRenewed: &encoder.TermRenewed{}})
+}
+
+func (m *Model) hasSuspects() bool {
+	for name, p := range m.peers {
+		if silent := m.at.MonoMS - p.heardMS; silent > m.cfg.HolderTimeoutMS/2 && silent < suspectMS && !p.Drained {
+			return true
+		}
+		if m.at.MonoMS-p.heardMS <= m.cfg.HolderTimeoutMS/2 {
+			delete(m.suspects, name)
+		}
+	}
+	for name, since := range m.suspects {
+		if m.at.MonoMS-since > suspectMS || name == m.cfg.Name {
+			delete(m.suspects, name)
+		}
+	}
+	return len(m.suspects) > 0
+}
+
 func (m *Model) holderGone() (reason string, gone bool) {
 	holder := m.state.Holder
 	if holder == "" {
--- a/internal/control/decider/workers.go
+++ b/internal/control/decider/workers.go
@@ -35,9 +35,13 @@
 	retryMS   int64
 	avoidMS   int64
 	lastError string
-	// leaseEndMS is when every lease granted so far has surely run out.
+	// leaseEndMS is when every lease that was sent so far has surely run out.
 	leaseEndMS int64
-	table      map[runner.Reference]runner.Status
+	// grantedMS is when the leases that the worker confirmed run out.
+	grantedMS int64
+	// sentMS is when the renewal in flight was sent; 0 if it renews nothing.
+	sentMS int64
+	table  map[runner.Reference]runner.Status
 }
 
 // Liaison is a copy of what the holder knows of the workers.
@@ -85,7 +89,7 @@
 func (w *worker) resetForTerm(leaseEnd int64) {
 	w.heard, w.version, w.failures, w.retryMS, w.avoidMS = false, 0, 0, 0, 0
 	w.table = map[runner.Reference]runner.Status{}
-	w.leaseEndMS = leaseEnd
+	w.leaseEndMS, w.grantedMS, w.sentMS = leaseEnd, leaseEnd, 0
 }
 
 // clockAt returns a reading that the worker's clock has reached by now.
@@ -138,11 +142,19 @@
 	if w.inFlight || m.at.MonoMS < w.retryMS || !m.mayRenew() {
 		return
 	}
-	w.inFlight = true
-	w.leaseEndMS = max(w.leaseEndMS, m.at.MonoMS+m.cfg.LeaseMS)
+	w.inFlight, w.sentMS = true, 0
+	if w.renewing() {
+		w.sentMS = m.at.MonoMS
+		w.leaseEndMS = max(w.leaseEndMS, m.at.MonoMS+m.cfg.LeaseMS)
+	}
 	m.emit(ExchangeCmd{Worker: w.name, Address: w.address, Request: m.exchangeRequest(w)})
 }
 
+// renewing reports whether the next exchange renews leases. After a failure it
+// only asks for an answer: a renewal to a silent worker would put off, again
+// and again, the time when its leases have surely run out.
+func (w *worker) renewing() bool { return w.heard && w.failures == 0 }
+
 // mayRenew reports whether leases may be extended. Without the ledger that is
 // so while every member is heard and none of them can read it either, and for
 // a bounded time otherwise.
@@ -175,16 +187,16 @@
 
 func (m *Model) exchangeRequest(w *worker) runner.ExchangeRequest {
 	r := runner.ExchangeRequest{Term: m.state.Term, Boot: w.boot, Since: w.version, WaitMS: m.cfg.RenewMS}
-	if !w.heard {
+	if !w.renewing() {
 		r.WaitMS = 0
 		return r
 	}
-	until := w.clockAt(m.at.MonoMS) + m.cfg.LeaseMS
+	clock := w.clockAt(m.at.MonoMS)
 	for _, ref := range sortedReferences(w.table) {
 		status := w.table[ref]
 		switch {
 		case m.renewable(ref, status):
-			r.Leases = append(r.Leases, runner.Lease{Job: ref.Job, Attempt: ref.Attempt, Until: until})
+			r.Leases = append(r.Leases, runner.Lease{Job: ref.Job, Attempt: ref.Attempt, Until: clock + m.leaseFor(w, ref)})
 		case status.State.Final() && m.fresh() && !m.isActive(ref) && m.pending[ref.Job] == nil:
 			r.Forget = append(r.Forget, ref)
 		}
@@ -192,6 +204,19 @@
 	return r
 }
 
+// leaseFor returns for how long the attempt may go on at the worker: never
+// longer than at the gang's other workers, so that the leases of a gang run out
+// together when one of its workers is cut off.
+func (m *Model) leaseFor(w *worker, ref runner.Reference) int64 {
+	lease := m.cfg.LeaseMS
+	for _, p := range m.state.Jobs[ref.Job].Active().Placements {
+		if o := m.workers[p.Worker]; o != nil && o != w {
+			lease = min(lease, o.grantedMS-m.at.MonoMS)
+		}
+	}
+	return lease
+}
+
 // renewable reports whether the attempt may go on. A gang that has not started
 // as a whole keeps its short first lease.
 func (m *Model) renewable(ref runner.Reference, status runner.Status) bool {
@@ -221,6 +246,9 @@
 		m.failExchange(w, msg.Err)
 		return
 	}
+	if w.sentMS > 0 {
+		w.grantedMS = max(w.grantedMS, w.sentMS+m.cfg.LeaseMS)
+	}
 	m.takeTable(w, msg.Reply)
 	if msg.Reply.Term > m.state.Term || !m.holds() {
 		w.retryMS = m.at.MonoMS + minRetryMS
--- a/internal/control/planner/guarantees.go
+++ b/internal/control/planner/guarantees.go
@@ -313,15 +313,46 @@
 func (p *pass) reclaim(j *reducer.Job, c *claimPlace) {
 	c.shape.room.Take(c.places)
 	c.shape.used++
-	p.evict(c.places, j, "guarantee "+c.shape.claim+" of workspace "+j.Spec.Workspace)
-	p.free.Take(c.places)
+	p.hold(j, c.places, c.shape.claim)
 	p.note(j, "borrowed workers are being reclaimed for guarantee "+c.shape.claim)
 }
 
-// evict stops reclaimable attempts until the places are free.
+// hold clears the places for a job and keeps others away from them, in this
+// pass and in those that follow until the job starts.
+func (p *pass) hold(j *reducer.Job, places []placer.Place, claim string) {
+	p.plan.Holds[j.ID] = Pending{Claim: claim, Placements: p.toPlacements(places)}
+	p.free.Take(places)
+	need := "urgent work"
+	if claim != "" {
+		need = "guarantee " + claim + " of workspace " + j.Spec.Workspace
+	}
+	p.evict(places, j, need)
+}
+
+// decideHeld starts a job on the workers that were cleared for it, or goes on
+// clearing them.
+func (p *pass) decideHeld(j *reducer.Job, h *active) {
+	p.free.Give(h.places)
+	p.usage[j.Spec.Workspace] -= j.Spec.TotalAccelerators()
+	if !p.covered(p.free, h.places) {
+		p.hold(j, h.places, h.attempt.Claim)
+		return
+	}
+	if h.attempt.Claim != "" && p.freeQuota(j) {
+		p.hold(j, h.places, h.attempt.Claim)
+		return
+	}
+	reason := "on workers cleared for urgent work"
+	if h.attempt.Claim != "" {
+		reason = "claims guarantee " + h.attempt.Claim
+	}
+	p.start(j, h.places, h.attempt.Claim, reason)
+}
+
+// evict stops reclaimable attempts until the places, which are taken from the
+// free workers already, are covered.
 func (p *pass) evict(places []placer.Place, j *reducer.Job, need string) {
 	left := p.freeSoon()
-	left.Take(places)
 	for _, pl := range places {
 		for _, a := range p.victims(pl.Node) {
 			if r := left[pl.Node]; r.Processors >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 {
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -41,6 +41,8 @@
 	Ready map[string]bool
 	// Pending are jobs whose reservations are under way.
 	Pending map[string]Pending
+	// Holds are the workers that earlier passes cleared for waiting jobs.
+	Holds map[string]Pending
 	// Recheck asks for a check of all waiting jobs against the whole fleet.
 	Recheck bool
 }
@@ -57,6 +59,8 @@
 	Stops    []Stop
 	Refusals []Refusal
 	Notes    []Note
+	// Holds replaces the holds of the input.
+	Holds map[string]Pending
 }
 
 // Start is a job with the workers for its next attempt.
@@ -108,8 +112,10 @@
 	places      []placer.Place
 	reclaimable bool
 	stopping    bool
-	// pending attempts hold reservations only; they can't be stopped yet.
+	// pending attempts hold reservations only, or workers that are being
+	// cleared for them; they can't be stopped.
 	pending bool
+	held    bool
 	endMS   int64
 }
 
@@ -130,10 +136,12 @@
 	// perAccelerator is the smallest share that an accelerator brings along.
 	perAccelerator placer.Resources
 	reservations   []reservation
+	holds          map[string]*active
 }
 
 func newPass(in Input) *pass {
-	p := &pass{in: in, fleet: in.State.Fleet(), usage: map[string]int{}}
+	p := &pass{in: in, fleet: in.State.Fleet(), usage: map[string]int{}, holds: map[string]*active{}}
+	p.plan.Holds = map[string]Pending{}
 	p.closed, p.doubtful = p.closedNodes()
 	p.free = p.fleet.Totals()
 	p.collectActives()
@@ -199,13 +207,27 @@
 		if start, ok := p.in.Pending[id]; ok {
 			attempt := &reducer.Attempt{Claim: start.Claim, Placements: start.Placements, CommittedMS: p.in.NowMS}
 			p.addActive(&active{job: j, attempt: attempt, pending: true}, start.Placements)
+			continue
+		}
+		if hold, ok := p.in.Holds[id]; ok && j.Status == reducer.JobWaiting && p.holdStands(hold) {
+			attempt := &reducer.Attempt{Claim: hold.Claim, Placements: hold.Placements, CommittedMS: p.in.NowMS}
+			p.holds[id] = &active{job: j, attempt: attempt, pending: true, held: true}
+			p.addActive(p.holds[id], hold.Placements)
 		}
 	}
 }
 
+// holdStands reports whether all workers of a hold still take new work.
+func (p *pass) holdStands(h Pending) bool {
+	return !slices.ContainsFunc(h.Placements, func(pl encoder.Placement) bool {
+		i := p.fleet.Index(pl.Worker)
+		return i < 0 || p.closed[i]
+	})
+}
+
 func (p *pass) addActive(a *active, placements []encoder.Placement) {
 	a.places = p.toPlaces(a.job, placements)
-	a.reclaimable = a.stopping || (a.attempt.Claim == "" && a.job.Repeatable())
+	a.reclaimable = a.stopping || (a.attempt.Claim == "" && a.job.Repeatable() && !a.held)
 	a.endMS = p.in.NowMS + RemainingMS(a.job, a.attempt, p.in.NowMS)
 	p.free.Take(a.places)
 	p.usage[a.job.Spec.Workspace] += a.job.Spec.TotalAccelerators()
@@ -279,6 +301,10 @@
 			return
 		}
 	}
+	if h, ok := p.holds[j.ID]; ok {
+		p.decideHeld(j, h)
+		return
+	}
 	quota := p.quotaLeft(j)
 	if !p.claimsFirst(j) && quota && p.startBorrowed(j) {
 		return
--- a/internal/control/planner/urgent.go
+++ b/internal/control/planner/urgent.go
@@ -21,8 +21,7 @@
 		return false
 	}
 	p.spare.Take(places)
-	p.evict(places, j, "urgent work")
-	p.free.Take(places)
+	p.hold(j, places, "")
 	p.note(j, "workers are being cleared for urgent work")
 	return true
 }
--- a/internal/ledger/encoder/entries.go
+++ b/internal/ledger/encoder/entries.go
@@ -21,6 +21,7 @@
 	Term uint64 `cbor:",omitempty"`
 
 	TermClaimed      *TermClaimed      `cbor:",omitempty"`
+	TermRenewed      *TermRenewed      `cbor:",omitempty"`
 	MembersChanged   *MembersChanged   `cbor:",omitempty"`
 	TicketReceived   *TicketReceived   `cbor:",omitempty"`
 	JobSubmitted     *JobSubmitted     `cbor:",omitempty"`
@@ -47,6 +48,9 @@
 	Reason string
 }
 
+// TermRenewed shows instances that don't hear the holder that it lives.
+type TermRenewed struct{}
+
 // MembersChanged replaces the set of instances that share the minions' limits.
 type MembersChanged struct {
 	// Epoch must be one more than the current epoch.
@@ -174,6 +178,9 @@
 	// Worker is the one that failed or was lost, if there was one.
 	Worker string `cbor:",omitempty"`
 	Reason string
+	// Checkpointed tells that every worker confirmed a checkpoint as the last
+	// thing that its tasks did, so that the job can go on from there.
+	Checkpointed bool `cbor:",omitempty"`
 	// ProgressMS is the work kept by a checkpoint, in milliseconds of run time.
 	ProgressMS int64 `cbor:",omitempty"`
 	// RunMS is how long the attempt ran.
@@ -222,7 +229,7 @@
 // DecisionOnly reports whether only the term's holder may write the entry.
 func (e Entry) DecisionOnly() bool {
 	switch {
-	case e.MembersChanged != nil, e.TicketReceived != nil, e.JobRefused != nil, e.JobNoted != nil:
+	case e.TermRenewed != nil, e.MembersChanged != nil, e.TicketReceived != nil, e.JobRefused != nil, e.JobNoted != nil:
 		return true
 	case e.AttemptUnwound != nil, e.AttemptCommitted != nil, e.AttemptRunning != nil:
 		return true
--- a/internal/ledger/reducer/apply.go
+++ b/internal/ledger/reducer/apply.go
@@ -97,6 +97,8 @@
 	switch {
 	case e.TermClaimed != nil:
 		return s.claimTerm(offset, writer, e)
+	case e.TermRenewed != nil:
+		return accepted
 	case e.MembersChanged != nil:
 		return s.changeMembers(offset, e)
 	case e.TicketReceived != nil:
--- a/internal/ledger/reducer/jobs.go
+++ b/internal/ledger/reducer/jobs.go
@@ -38,7 +38,9 @@
 	WaitingFor string
 	Cancelled  bool
 	// Started is set once any attempt was committed and not proved unstarted.
-	Started    bool
+	Started bool
+	// Resumable is set while the latest attempt that ran ended in a checkpoint.
+	Resumable  bool
 	ProgressMS int64
 	// RanMS is the run time of all ended attempts.
 	RanMS    int64
@@ -227,7 +229,7 @@
 	if c.Attempt != j.AttemptCount+1 {
 		return refuse(RefusedConflict, "attempt %d does not follow %d", c.Attempt, j.AttemptCount)
 	}
-	if j.Spec.NonIdempotent && j.Started && j.ProgressMS == 0 {
+	if j.Spec.NonIdempotent && j.Started && !j.Resumable {
 		return refuse(RefusedState, "job %s is not idempotent and was started before", c.ID)
 	}
 	if domain := s.closedDomain(c.Placements); domain != "" {
@@ -346,6 +348,9 @@
 	a.EndedMS, a.Result, a.EndReason = e.At, c.Result, c.Reason
 	j.RanMS += c.RunMS
 	j.ProgressMS = max(j.ProgressMS, c.ProgressMS)
+	if c.Result != encoder.ResultNotRun {
+		j.Resumable = c.Checkpointed && c.Result == encoder.ResultStopped
+	}
 	j.event(offset, e, "Ended", "attempt %d ended %s%s", a.Number, c.Result, withReason(c.Reason))
 	s.judgeWorkers(offset, e, j, a)
 	s.settleJob(offset, e, j, a)
@@ -376,7 +381,7 @@
 		s.requeue(offset, e, j)
 	case a.Result == encoder.ResultLost && j.Spec.NonIdempotent:
 		s.finishJob(offset, e, j, JobUnknown, encoder.OutcomeUnknown, "a worker was lost while the job, which is not idempotent, may have run: "+a.EndReason)
-	case j.Spec.NonIdempotent && (a.Result != encoder.ResultStopped || j.ProgressMS == 0):
+	case j.Spec.NonIdempotent && !j.Resumable:
 		s.finishJob(offset, e, j, JobFailed, encoder.OutcomeRan, "it is not idempotent and may not start again: "+a.EndReason)
 	case a.Result == encoder.ResultFailed && j.Failures >= j.Spec.MaxAttempts:
 		s.finishJob(offset, e, j, JobFailed, encoder.OutcomeRan, fmt.Sprintf("failed %d times, last: %s", j.Failures, a.EndReason))
--- a/internal/platform/runner/runner.go
+++ b/internal/platform/runner/runner.go
@@ -47,6 +47,8 @@
 	State   TaskState
 	// Started tells whether any task was ever started here.
 	Started bool
+	// Checkpointed tells that a checkpoint was the last thing that the tasks did.
+	Checkpointed bool
 	// ProgressMS is the run time kept by the latest checkpoint.
 	ProgressMS int64
 	// RanMS is how long the tasks have run here.
--- a/internal/product/assembler/logging.go
+++ b/internal/product/assembler/logging.go
@@ -33,6 +33,8 @@
 	switch {
 	case e.TermClaimed != nil:
 		return "TermClaimed"
+	case e.TermRenewed != nil:
+		return "TermRenewed"
 	case e.MembersChanged != nil:
 		return "MembersChanged"
 	case e.TicketReceived != nil:
--- a/internal/product/configurer/check.go
+++ b/internal/product/configurer/check.go
@@ -201,7 +201,7 @@
 		less, more   specifier.Duration
 		lessN, moreN string
 	}{
-		{"Timing.Renew", 2 * t.Renew, t.Lease, "twice Renew", "Lease"},
+		{"Timing.Renew", 3 * t.Renew, t.Lease, "three times Renew", "Lease"},
 		{"Timing.StartLease", t.StartWindow, t.StartLease, "StartWindow", "StartLease"},
 		{"Timing.ReservationHold", t.MessageLife, t.ReservationHold, "MessageLife", "ReservationHold"},
 		{"Timing.LostAfter", t.Lease + t.Margin, t.LostAfter, "Lease and Margin together", "LostAfter"},
--- a/internal/product/configurer/settings.go
+++ b/internal/product/configurer/settings.go
@@ -129,7 +129,7 @@
 		},
 		Peers: Peers{CertificateFile: "keys/entry-1.crt", KeyFile: "keys/entry-1.key", AuthorityFile: "keys/authority.crt", Heartbeat: s(time.Second)},
 		Timing: Timing{
-			Lease: s(15 * time.Second), Renew: s(5 * time.Second), MessageLife: s(2 * time.Second),
+			Lease: s(20 * time.Second), Renew: s(4 * time.Second), MessageLife: s(2 * time.Second),
 			ReservationHold: s(4 * time.Second), StartWindow: s(3 * time.Second), StartLease: s(4 * time.Second),
 			Fresh: s(2 * time.Second), HolderTimeout: s(3500 * time.Millisecond), MemberTimeout: s(10 * time.Second),
 			LostAfter: s(90 * time.Second), Margin: s(time.Second), Plan: s(50 * time.Millisecond), Tick: s(100 * time.Millisecond),
--- a/internal/standin/taskrunner/requests.go
+++ b/internal/standin/taskrunner/requests.go
@@ -236,6 +236,7 @@
 	}
 	if checkpoint && e.State == runner.TaskRunning {
 		e.ProgressMS += e.ranMS()
+		e.Checkpointed = true
 	}
 	r.end(e, runner.TaskStopped, observer.KindStopped, "stopped as asked")
 }
--- a/internal/standin/taskrunner/taskrunner.go
+++ b/internal/standin/taskrunner/taskrunner.go
@@ -164,7 +164,7 @@
 	q := e.request
 	r.events = append(r.events, observer.Event{
 		Kind: kind, Worker: r.cfg.Name, Job: q.Job, Workspace: q.Workspace, Name: q.Name, Attempt: q.Attempt,
-		Tasks: q.Tasks, GangTasks: q.GangTasks, Accelerators: q.Tasks * q.Accelerators, NonIdempotent: q.NonIdempotent, At: time.Now(),
+		Tasks: q.Tasks, GangTasks: q.GangTasks, Accelerators: q.Tasks * q.Accelerators, NonIdempotent: q.NonIdempotent, Resumed: q.ProgressMS > 0, At: time.Now(),
 	})
 }
 
--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -134,7 +134,6 @@
 	services   map[string]*service
 	minions    map[string]*minion
 	epochSince time.Time
-	lastEpoch  uint64
 	oldMembers []string
 	closing    bool
 }
