--- a/internal/control/decider/attempts.go
+++ b/internal/control/decider/attempts.go
@@ -45,6 +45,11 @@
 }
 
 func (m *Model) forgetSeen() {
+	for id := range m.tried {
+		if j, ok := m.state.Jobs[id]; !ok || j.Status.Final() {
+			delete(m.tried, id)
+		}
+	}
 	for id, s := range m.seen {
 		if !m.isActive(runner.Reference{Job: id, Attempt: s.attempt}) {
 			delete(m.seen, id)
--- a/internal/control/decider/model.go
+++ b/internal/control/decider/model.go
@@ -66,6 +66,8 @@
 	pending map[string]*pending
 	// clearing are the workers that are being cleared for waiting jobs.
 	clearing map[string]planner.Pending
+	// tried is the latest attempt number for which workers were reserved.
+	tried    map[string]int
 	seen     map[string]seenAttempt
 	proposed map[string]bool
 
@@ -101,7 +103,7 @@
 	m := Model{
 		cfg: cfg, state: state, freshMS: -cfg.FreshMS - 1, viewRev: ^uint64(0), workersRev: ^uint64(0),
 		peers: map[string]peer{}, workers: map[string]*worker{}, pending: map[string]*pending{},
-		suspects: map[string]int64{}, seen: map[string]seenAttempt{}, proposed: map[string]bool{},
+		suspects: map[string]int64{}, tried: map[string]int{}, seen: map[string]seenAttempt{}, proposed: map[string]bool{},
 	}
 	m.syncWorkers()
 	return m
--- a/internal/control/decider/reservations.go
+++ b/internal/control/decider/reservations.go
@@ -38,6 +38,9 @@
 // reserve asks each worker of the gang to hold the resources.
 func (m *Model) reserve(s planner.Start) {
 	j := m.state.Jobs[s.Job]
+	// A worker may still know a number that was tried before.
+	s.Attempt = max(s.Attempt, m.tried[s.Job]+1)
+	m.tried[s.Job] = s.Attempt
 	p := &pending{start: s, boots: map[string]string{}, waiting: map[string]bool{}, sinceMS: m.at.MonoMS, reason: s.Reason}
 	m.pending[s.Job] = p
 	for _, pl := range s.Placements {
--- a/internal/control/explainer/explainer.go
+++ b/internal/control/explainer/explainer.go
@@ -96,7 +96,7 @@
 		}
 		return fmt.Sprintf("The job waits, %s after its submission, after %s. It waits for: %s.", age, plural(j.AttemptCount, "attempt"), reason)
 	case reducer.JobStarting:
-		return fmt.Sprintf("Attempt %d is being started; not every worker has confirmed yet.", j.AttemptCount)
+		return fmt.Sprintf("Attempt %d is being started; not every worker has confirmed yet.", j.LastAttempt)
 	case reducer.JobRunning:
 		a := j.Active()
 		return fmt.Sprintf("The job runs as attempt %d on %s since %s.", a.Number, plural(len(a.Placements), "worker"), clock(a.RunningMS))
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -338,7 +338,7 @@
 	p.free.Take(places)
 	p.usage[j.Spec.Workspace] += j.Spec.TotalAccelerators()
 	p.plan.Starts = append(p.plan.Starts, Start{
-		Job: j.ID, Attempt: j.AttemptCount + 1, Claim: claim, Placements: p.toPlacements(places), Reason: reason,
+		Job: j.ID, Attempt: j.LastAttempt + 1, Claim: claim, Placements: p.toPlacements(places), Reason: reason,
 	})
 }
 
--- a/internal/ledger/reducer/jobs.go
+++ b/internal/ledger/reducer/jobs.go
@@ -45,8 +45,11 @@
 	// RanMS is the run time of all ended attempts.
 	RanMS    int64
 	Attempts []Attempt
-	// AttemptCount is the number of the latest attempt.
+	// AttemptCount counts the committed attempts.
 	AttemptCount int
+	// LastAttempt is the number of the latest one. Numbers of attempts whose
+	// reservations were given back are not used again.
+	LastAttempt int
 	// Failures counts attempts that ended because a task failed.
 	Failures    int
 	FailedOn    []string `cbor:",omitempty"`
@@ -226,8 +229,8 @@
 	if !ok || j.Status != JobWaiting {
 		return refuse(RefusedState, "job %q is not waiting", c.ID)
 	}
-	if c.Attempt != j.AttemptCount+1 {
-		return refuse(RefusedConflict, "attempt %d does not follow %d", c.Attempt, j.AttemptCount)
+	if c.Attempt <= j.LastAttempt {
+		return refuse(RefusedConflict, "attempt %d does not follow %d", c.Attempt, j.LastAttempt)
 	}
 	if j.Spec.NonIdempotent && j.Started && !j.Resumable {
 		return refuse(RefusedState, "job %s is not idempotent and was started before", c.ID)
@@ -235,7 +238,8 @@
 	if domain := s.closedDomain(c.Placements); domain != "" {
 		return refuse(RefusedState, "domain %s takes no new work", domain)
 	}
-	j.AttemptCount = c.Attempt
+	j.AttemptCount++
+	j.LastAttempt = c.Attempt
 	j.Started, j.Outcome = true, encoder.OutcomeUnknown
 	j.Status, j.WaitingFor = JobStarting, ""
 	j.Attempts = append(j.Attempts, Attempt{
