--- /dev/null
+++ b/internal/control/placer/placer_test.go
@@ -0,0 +1,151 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"daisyhead/internal/control/placer"
+	"daisyhead/internal/entry/specifier"
+)
+
+// grid returns racks of two workers with eight accelerators in each domain.
+func grid(domains, racks int) *placer.Fleet {
+	var nodes []placer.Node
+	for d := range domains {
+		for r := range racks {
+			for w := range 2 {
+				nodes = append(nodes, placer.Node{
+					Worker: fmt.Sprintf("d%d-r%d-w%d", d, r, w), Rack: fmt.Sprintf("d%d-r%d", d, r), Domain: fmt.Sprintf("d%d", d), Region: "r",
+					Total: placer.Resources{Processors: 64, MemoryMB: 64000, Accelerators: 8},
+				})
+			}
+		}
+	}
+	return placer.NewFleet(nodes)
+}
+
+func accelerators(tasks, each int, within specifier.Adjacency) placer.Request {
+	return placer.Request{Tasks: tasks, Each: placer.Resources{Accelerators: each}, Within: within}
+}
+
+func ExampleFleet_Place() {
+	f := grid(1, 2)
+	free := f.Totals()
+	places, ok := f.Place(free, accelerators(2, 8, specifier.WithinRack), placer.Options{})
+	free.Take(places)
+	for _, p := range places {
+		fmt.Println(f.Nodes[p.Node].Worker, p.Tasks, free[p.Node].Accelerators)
+	}
+	fmt.Println(ok)
+	// Output:
+	// d0-r0-w0 1 0
+	// d0-r0-w1 1 0
+	// true
+}
+
+func TestPlace(t *testing.T) {
+	tests := []struct {
+		name string
+		used map[string]int
+		r    placer.Request
+		want map[string]int
+	}{
+		{"four tasks fill a worker's hole before an empty worker", map[string]int{"d0-r1-w1": 4}, accelerators(1, 4, specifier.WithinAny), map[string]int{"d0-r1-w1": 1}},
+		{"four free accelerators on two workers are no place within one", map[string]int{"d0-r0-w0": 6, "d0-r0-w1": 6, "d0-r1-w0": 6, "d0-r1-w1": 6}, accelerators(1, 4, specifier.WithinAny), nil},
+		{"a gang stays within a rack", map[string]int{"d0-r0-w0": 8}, accelerators(2, 8, specifier.WithinRack), map[string]int{"d0-r1-w0": 1, "d0-r1-w1": 1}},
+		{"a gang within a domain takes two racks", nil, accelerators(4, 8, specifier.WithinDomain), map[string]int{"d0-r0-w0": 1, "d0-r0-w1": 1, "d0-r1-w0": 1, "d0-r1-w1": 1}},
+		{"a gang beyond the fleet has no place", nil, accelerators(5, 8, specifier.WithinAny), nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := grid(1, 2)
+			free := f.Totals()
+			for worker, n := range test.used {
+				free[f.Index(worker)].Accelerators -= n
+			}
+			places, _ := f.Place(free, test.r, placer.Options{})
+			var got map[string]int
+			for _, p := range places {
+				if got == nil {
+					got = map[string]int{}
+				}
+				got[f.Nodes[p.Node].Worker] += p.Tasks
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("places differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestPlaceKeepsItsWord draws fleets and requests: a place is whole, adjacent
+// as asked and within what is free; and what fits an emptier fleet is found.
+func TestPlaceKeepsItsWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := grid(rapid.IntRange(1, 3).Draw(t, "domains"), rapid.IntRange(1, 3).Draw(t, "racks"))
+		free := f.Totals()
+		for i := range free {
+			free[i].Accelerators = rapid.IntRange(0, 8).Draw(t, "free")
+		}
+		within := rapid.SampledFrom([]specifier.Adjacency{specifier.WithinWorker, specifier.WithinRack, specifier.WithinDomain, specifier.WithinAny}).Draw(t, "within")
+		r := accelerators(rapid.IntRange(1, 12).Draw(t, "tasks"), rapid.IntRange(1, 8).Draw(t, "each"), within)
+		places, ok := f.Place(free, r, placer.Options{})
+		if !ok {
+			if brute(f, free, r) {
+				t.Fatalf("no place found for %+v although there is one", r)
+			}
+			return
+		}
+		tasks := 0
+		for _, p := range places {
+			tasks += p.Tasks
+			if !f.Near(places[0].Node, within)[p.Node] {
+				t.Fatalf("%+v is spread over more than %s", places, within)
+			}
+		}
+		if tasks != r.Tasks {
+			t.Fatalf("%d tasks placed, want %d", tasks, r.Tasks)
+		}
+		free.Take(places)
+		for i := range free {
+			if free[i].Accelerators < 0 {
+				t.Fatalf("worker %s is overfull", f.Nodes[i].Worker)
+			}
+		}
+	})
+}
+
+// brute reports whether any group of the level holds the request, by counting.
+func brute(f *placer.Fleet, free placer.Free, r placer.Request) bool {
+	for i := range f.Nodes {
+		fit := 0
+		for j, near := range f.Near(i, r.Within) {
+			if near {
+				fit += free[j].Accelerators / r.Each.Accelerators
+			}
+		}
+		if fit >= r.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
+func TestPackSpreadsOverDomains(t *testing.T) {
+	f := grid(3, 2)
+	var shapes []placer.Shape
+	for range 3 {
+		shapes = append(shapes, placer.Shape{Workspace: "a", Guarantee: "g", Request: accelerators(2, 8, specifier.WithinRack)})
+	}
+	packing := f.Pack(f.Totals(), shapes, placer.Options{})
+	domains := map[string]int{}
+	for _, places := range packing.Places {
+		domains[f.Nodes[places[0].Node].Domain]++
+	}
+	if diff := cmp.Diff(map[string]int{"d0": 1, "d1": 1, "d2": 1}, domains); diff != "" || packing.Unplaced != 0 {
+		t.Errorf("%d unplaced, domains differ (-want +got):\n%s", packing.Unplaced, diff)
+	}
+}
--- /dev/null
+++ b/internal/traffic/limiter/limiter_test.go
@@ -0,0 +1,155 @@
+package limiter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisyhead/internal/control/decider"
+	peerencoder "daisyhead/internal/peer/encoder"
+	"daisyhead/internal/traffic/limiter"
+)
+
+func target(slots int) decider.Target {
+	return decider.Target{Name: "m", Address: "10.0.0.1:1", Domain: "d", Slots: slots, Connections: 64}
+}
+
+// viewOf returns a fresh view with one minion and the members of an epoch.
+func viewOf(start time.Time, revision, epoch uint64, members ...string) *decider.View {
+	v := &decider.View{
+		Revision: revision, Epoch: epoch, Members: members, CaughtUp: true, FreshMS: time.Since(start).Milliseconds(),
+		Services: map[string][]decider.Target{"s": {target(8)}}, Peers: map[string]decider.PeerView{},
+	}
+	for _, name := range members {
+		v.Peers[name] = decider.PeerView{Heartbeat: peerencoder.Heartbeat{Name: name, Epoch: epoch}}
+	}
+	return v
+}
+
+func TestSharesAddUpToTheSlots(t *testing.T) {
+	for slots := 1; slots <= 16; slots++ {
+		for n := 1; n <= 12; n++ {
+			var members []string
+			for i := range n {
+				members = append(members, fmt.Sprintf("entry-%d", i))
+			}
+			sum := 0
+			for _, name := range members {
+				sum += limiter.Share(target(slots), members, name)
+			}
+			if sum != slots {
+				t.Errorf("%d slots, %d members: shares add up to %d", slots, n, sum)
+			}
+		}
+	}
+}
+
+// acquireAll takes slots until none is free at once.
+func acquireAll(l *limiter.Limiter) (leases []*limiter.Lease) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		lease, err := l.Acquire(ctx, limiter.Request{Service: "s"})
+		cancel()
+		if err != nil {
+			return leases
+		}
+		leases = append(leases, lease)
+	}
+}
+
+// TestLimitHoldsWhileMembersChange lets an instance join while another uses
+// all slots: together they never exceed them.
+func TestLimitHoldsWhileMembersChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		cfg := limiter.Config{Fresh: 2 * time.Second, SettleTime: 3 * time.Second, Start: start, Domain: "d"}
+		a, b := limiter.New("a", cfg), limiter.New("b", cfg)
+		a.Update(viewOf(start, 1, 1, "a"))
+		held := acquireAll(a)
+		if len(held) != 8 {
+			t.Fatalf("alone, a got %d slots, want 8", len(held))
+		}
+		joined := viewOf(start, 2, 2, "a", "b")
+		joined.Peers["a"] = decider.PeerView{Heartbeat: peerencoder.Heartbeat{Name: "a", Epoch: 2, SlotsUsed: a.Used()}}
+		b.Update(joined)
+		if got := acquireAll(b); len(got) != 0 {
+			t.Errorf("b got %d slots while a used all", len(got))
+		}
+		a.Update(viewOf(start, 2, 2, "a", "b"))
+		for _, lease := range held[:4] {
+			lease.Release(limiter.Success)
+		}
+		if got := acquireAll(a); len(got) != 0 {
+			t.Errorf("a got %d slots beyond its share of 4", len(got))
+		}
+		joined = viewOf(start, 3, 2, "a", "b")
+		joined.Peers["a"] = decider.PeerView{Heartbeat: peerencoder.Heartbeat{Name: "a", Epoch: 2, SlotsUsed: a.Used()}}
+		b.Update(joined)
+		if got := acquireAll(b); len(got) != 4 {
+			t.Errorf("b got %d slots, want its share of 4", len(got))
+		}
+	})
+}
+
+func TestAcquireRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		cfg := limiter.Config{Fresh: 2 * time.Second, SettleTime: 3 * time.Second, Start: start}
+		tests := []struct {
+			name    string
+			view    func() *decider.View
+			service string
+			exclude []string
+			want    error
+		}{
+			{"an unknown service", func() *decider.View { return viewOf(start, 1, 1, "a") }, "other", nil, limiter.ErrNoService},
+			{"when every minion was tried", func() *decider.View { return viewOf(start, 1, 1, "a") }, "s", []string{"10.0.0.1:1"}, limiter.ErrNoMinion},
+			{"on an old control state", func() *decider.View {
+				v := viewOf(start, 1, 1, "a")
+				v.FreshMS -= 3000
+				return v
+			}, "s", nil, limiter.ErrStale},
+			{"when it is no member", func() *decider.View { return viewOf(start, 1, 1, "b") }, "s", nil, limiter.ErrTooLate},
+		}
+		for _, test := range tests {
+			l := limiter.New("a", cfg)
+			l.Update(test.view())
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err := l.Acquire(ctx, limiter.Request{Service: test.service, Exclude: test.exclude})
+			cancel()
+			if !errors.Is(err, test.want) {
+				t.Errorf("%s: %v, want %v", test.name, err, test.want)
+			}
+		}
+	})
+}
+
+// TestHighClassGoesFirst fills the slots and queues both classes.
+func TestHighClassGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		l := limiter.New("a", limiter.Config{Fresh: time.Hour, Start: start})
+		l.Update(viewOf(start, 1, 1, "a"))
+		held := acquireAll(l)
+		order := make(chan limiter.Class, 2)
+		for _, class := range []limiter.Class{limiter.ClassLow, limiter.ClassHigh} {
+			go func() {
+				lease, err := l.Acquire(t.Context(), limiter.Request{Service: "s", Class: class})
+				if err == nil {
+					order <- class
+					lease.Release(limiter.Success)
+				}
+			}()
+			synctest.Wait()
+		}
+		held[0].Release(limiter.Success)
+		if first := <-order; first != limiter.ClassHigh {
+			t.Errorf("class %d got the slot first, want the high class", first)
+		}
+		<-order
+	})
+}
--- /dev/null
+++ b/internal/traffic/router/router_test.go
@@ -0,0 +1,276 @@
+package router_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"daisyhead/internal/control/decider"
+	"daisyhead/internal/entry/replier"
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/traffic/claimer"
+	"daisyhead/internal/traffic/limiter"
+	"daisyhead/internal/traffic/router"
+)
+
+// minions lets a script answer each connection in turn and counts the requests
+// whose head arrived whole.
+type minions struct {
+	mu       sync.Mutex
+	script   []string
+	received int
+	listener net.Listener
+}
+
+func newMinions(t *testing.T, script ...string) *minions {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &minions{script: script, listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(c)
+		}
+	}()
+	return m
+}
+
+// serve plays one step for each request of a connection.
+func (m *minions) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		m.mu.Lock()
+		step := "whole"
+		if len(m.script) > 0 {
+			step, m.script = m.script[0], m.script[1:]
+		}
+		m.mu.Unlock()
+		if step == "close" {
+			return
+		}
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get(router.HeaderRequestID)
+		m.mu.Lock()
+		m.received++
+		m.mu.Unlock()
+		switch step {
+		case "reset":
+			return
+		case "cut":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+			return
+		case "crossed":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nDaisyhead-Request-Id: other\r\nContent-Length: 5\r\n\r\nother")
+		default:
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nDaisyhead-Request-Id: %s\r\nContent-Length: 5\r\n\r\nwhole", id)
+		}
+	}
+}
+
+func (m *minions) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.received
+}
+
+// slots always has a slot at the scripted minion.
+type slots struct{ l *limiter.Limiter }
+
+func newSlots(address string) slots {
+	l := limiter.New("a", limiter.Config{Fresh: time.Hour, Start: time.Now()})
+	l.Update(&decider.View{Revision: 1, Epoch: 1, Members: []string{"a"}, CaughtUp: true, Services: map[string][]decider.Target{
+		"s": {{Name: "m", Address: address, Slots: 64, Connections: 64}},
+	}})
+	return slots{l}
+}
+
+// Acquire ignores what was tried: the script stands for all minions.
+func (s slots) Acquire(ctx context.Context, r limiter.Request) (*limiter.Lease, error) {
+	r.Exclude = nil
+	return s.l.Acquire(ctx, r)
+}
+
+// claims is a ledger of one process.
+type claims struct {
+	mu   sync.Mutex
+	held map[string]*reducer.Claim
+}
+
+func (c *claims) Claim(_ context.Context, r claimer.Request) (*reducer.Claim, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old, ok := c.held[r.Key]; ok {
+		return old, nil
+	}
+	c.held[r.Key] = &reducer.Claim{Outcome: encoder.OutcomeUnknown}
+	return nil, nil
+}
+
+func (c *claims) End(r claimer.Request, e claimer.Ending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[r.Key] = &reducer.Claim{Ended: true, Outcome: e.Outcome, Status: e.Status, Body: e.Body, Type: e.Type, Truncated: e.Truncated, Reason: e.Reason}
+}
+
+type accessLog struct{}
+
+func (accessLog) Access(router.Access) {}
+
+func newRouter(address string) *router.Router {
+	shared, once := router.NewTransports(8)
+	return &router.Router{
+		Limiter: newSlots(address), Claimer: &claims{held: map[string]*reducer.Claim{}}, Log: accessLog{},
+		Shared: shared, Once: once, Budget: router.NewBudget(1000),
+	}
+}
+
+// reply is what a caller sees.
+type reply struct {
+	Status   int
+	Body     string
+	Outcome  encoder.Outcome
+	Broken   bool
+	Replayed bool
+}
+
+func send(t *testing.T, server *httptest.Server, method, mark, key string) (got reply) {
+	t.Helper()
+	req, err := http.NewRequest(method, server.URL, bytes.NewReader([]byte("body")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.GetBody = nil
+	if mark != "" {
+		req.Header.Set(router.HeaderIdempotent, mark)
+	}
+	if key != "" {
+		req.Header.Set(router.HeaderKey, key)
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return reply{Broken: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	got = reply{Status: resp.StatusCode, Body: string(body), Outcome: encoder.Outcome(resp.Header.Get(router.HeaderOutcome)), Broken: err != nil}
+	got.Replayed = resp.Header.Get(router.HeaderReplayed) != ""
+	if resp.StatusCode != http.StatusOK {
+		var e replier.Error
+		_ = json.Unmarshal(body, &e)
+		got.Body = e.Code
+	}
+	return got
+}
+
+// TestFaults plays each fault of a minion against each kind of request.
+func TestFaults(t *testing.T) {
+	whole := reply{Status: 200, Body: "whole", Outcome: encoder.OutcomeRan}
+	unknown := reply{Status: 502, Body: "MinionFailed", Outcome: encoder.OutcomeUnknown}
+	cut := reply{Status: 200, Body: "half", Outcome: encoder.OutcomeRan, Broken: true}
+	tests := []struct {
+		name, method, mark, key string
+		script                  []string
+		want                    reply
+		received                int
+	}{
+		{"idempotent, reset once", "PUT", "", "", []string{"reset"}, whole, 2},
+		{"idempotent, reset every time", "PUT", "", "", []string{"reset", "reset", "reset"}, unknown, 3},
+		{"idempotent, connection closed before the request", "PUT", "", "", []string{"close"}, whole, 1},
+		{"idempotent, answer of another request", "GET", "", "", []string{"crossed"}, whole, 2},
+		{"idempotent, answer cut", "GET", "", "", []string{"cut"}, cut, 1},
+		{"marked idempotent POST, reset once", "POST", "true", "", []string{"reset"}, whole, 2},
+		{"unmarked POST is sent once", "POST", "", "", []string{"reset"}, unknown, 1},
+		{"unmarked POST with a key is sent once", "POST", "", "k", []string{"reset"}, unknown, 1},
+		{"not idempotent, reset", "POST", "false", "k", []string{"reset"}, unknown, 1},
+		{"not idempotent GET with a key, reset", "GET", "false", "k", []string{"reset"}, unknown, 1},
+		{"not idempotent PUT, answer cut", "PUT", "false", "k", []string{"cut"}, cut, 1},
+		{"not idempotent, answer of another request", "POST", "false", "k", []string{"crossed"}, unknown, 1},
+		{"not idempotent, whole", "POST", "false", "k", nil, whole, 1},
+		{"not idempotent without a key", "POST", "false", "", nil, reply{Status: 400, Body: "Invalid", Outcome: encoder.OutcomeNotRun}, 0},
+		{"a mark that is neither true nor false", "POST", "maybe", "k", nil, reply{Status: 400, Body: "Invalid", Outcome: encoder.OutcomeNotRun}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newMinions(t, test.script...)
+			server := serve(t, newRouter(m.listener.Addr().String()))
+			got := send(t, server, test.method, test.mark, test.key)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("reply differs (-want +got):\n%s", diff)
+			}
+			if n := m.count(); n != test.received {
+				t.Errorf("the minion received %d requests, want %d", n, test.received)
+			}
+		})
+	}
+}
+
+func serve(t *testing.T, r *router.Router) *httptest.Server {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.Serve(w, req, router.Call{RequestID: "id-1", Workspace: "a", Service: "s", Path: "/"})
+	}))
+	server.Config.ErrorLog = nil
+	t.Cleanup(server.Close)
+	return server
+}
+
+// TestUnreachableMinionIsNotRun finds nobody listening: nothing can have run.
+func TestUnreachableMinionIsNotRun(t *testing.T) {
+	m := newMinions(t)
+	_ = m.listener.Close()
+	server := serve(t, newRouter(m.listener.Addr().String()))
+	got := send(t, server, "POST", "false", "k")
+	if got.Outcome != encoder.OutcomeNotRun || got.Status != http.StatusBadGateway {
+		t.Errorf("got %+v, want 502 NotRun", got)
+	}
+}
+
+// TestRepeatedKey repeats a key after each outcome of the first request.
+func TestRepeatedKey(t *testing.T) {
+	tests := []struct {
+		name   string
+		script []string
+		want   reply
+	}{
+		{"after a whole answer", nil, reply{Status: 200, Body: "whole", Outcome: encoder.OutcomeRan, Replayed: true}},
+		{"after a reset", []string{"reset"}, reply{Status: 502, Body: "EarlierAttempt", Outcome: encoder.OutcomeUnknown}},
+		{"after a cut answer", []string{"cut"}, reply{Status: 409, Body: "AnswerNotKept", Outcome: encoder.OutcomeRan}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newMinions(t, test.script...)
+			server := serve(t, newRouter(m.listener.Addr().String()))
+			send(t, server, "POST", "false", "k")
+			if diff := cmp.Diff(test.want, send(t, server, "POST", "false", "k")); diff != "" {
+				t.Errorf("reply differs (-want +got):\n%s", diff)
+			}
+			if n := m.count(); n != 1 {
+				t.Errorf("the minion received %d requests, want 1", n)
+			}
+		})
+	}
+}
