Clear workers for overdue jobs, stop without checkpoint for urgent ones

Cause: large jobs waited behind small ones, urgent ones for 20 s checkpoints, and reservations kept workers idle.

--- a/internal/control/decider/attempts.go
+++ b/internal/control/decider/attempts.go
@@ -244,7 +244,7 @@
 		return
 	}
 	ref := runner.Reference{Job: j.ID, Attempt: a.Number}
-	checkpoint := j.Spec.Checkpointable && a.StopCause != encoder.StopCancel && !j.Cancelled
+	checkpoint := j.Spec.Checkpointable && a.StopCause != encoder.StopUrgent && !j.Cancelled
 	for _, p := range a.Placements {
 		w := m.workers[p.Worker]
 		if w == nil || !w.heard {
--- a/internal/control/placer/fleet.go
+++ b/internal/control/placer/fleet.go
@@ -55,6 +55,9 @@
 	specifier.WithinWorker, specifier.WithinRack, specifier.WithinDomain, specifier.WithinRegion, specifier.WithinAny,
 }
 
+// rackLevel is the index of racks among the levels.
+const rackLevel = 1
+
 // NewFleet sorts the nodes and finds their groups.
 func NewFleet(nodes []Node) *Fleet {
 	f := &Fleet{Nodes: slices.Clone(nodes), index: make(map[string]int, len(nodes))}
@@ -145,6 +148,9 @@
 	return low
 }
 
+// Valid reports whether nothing is overdrawn.
+func (r Resources) Valid() bool { return r.Processors >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 }
+
 // Plus returns r + o.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.Processors + o.Processors, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
--- a/internal/control/placer/place.go
+++ b/internal/control/placer/place.go
@@ -51,11 +51,15 @@
 
 func (f *Fleet) placeAt(free Free, r Request, o Options, level int) ([]Place, bool) {
 	best, bestScore := -1, 0
+	racks := f.rackFree(free)
 	for i, s := range f.spans[level] {
 		if o.Domain != "" && f.Nodes[s.from].Domain != o.Domain {
 			continue
 		}
 		score, ok := f.scoreSpan(free, r, o, s)
+		// Among equals, the rack with the least left is taken first, so that
+		// whole racks stay free for large gangs.
+		score = score<<rackBits + min(racks[s.from], 1<<rackBits-1)
 		if ok && (best < 0 || score < bestScore) {
 			best, bestScore = i, score
 		}
@@ -66,6 +70,24 @@
 	return f.fillSpan(free, r, o, f.spans[level][best]), true
 }
 
+// rackBits is the room in a score for a rack's free accelerators.
+const rackBits = 10
+
+// rackFree returns for each node the free accelerators of its rack.
+func (f *Fleet) rackFree(free Free) []int {
+	racks := make([]int, len(f.Nodes))
+	for _, s := range f.spans[rackLevel] {
+		sum := 0
+		for i := s.from; i < s.to; i++ {
+			sum += max(free[i].Accelerators, 0)
+		}
+		for i := s.from; i < s.to; i++ {
+			racks[i] = sum
+		}
+	}
+	return racks
+}
+
 // scoreSpan reports whether the span holds the request, and how much would be
 // left free; less is better.
 func (f *Fleet) scoreSpan(free Free, r Request, o Options, s span) (score int, ok bool) {
@@ -84,7 +106,7 @@
 // makes nodes that have accelerators the last choice.
 func (f *Fleet) weight(free Resources, r Request, node int) int {
 	if r.Each.Accelerators > 0 {
-		return free.Accelerators<<12 + min(free.Processors, 1<<12-1)
+		return free.Accelerators
 	}
 	return f.Nodes[node].Total.Accelerators<<20 + free.Processors
 }
--- a/internal/control/planner/guarantees.go
+++ b/internal/control/planner/guarantees.go
@@ -225,7 +225,7 @@
 			p.claim(j, s, places)
 			return true
 		}
-		c := &claimPlace{shape: s, places: places, cost: p.victimCost(places)}
+		c := &claimPlace{shape: s, places: places, cost: p.victimCost(places, encoder.StopReclaim)}
 		if blocked == nil || c.cost < blocked.cost {
 			blocked = c
 		}
@@ -233,8 +233,7 @@
 	if blocked == nil {
 		return false
 	}
-	p.reclaim(j, blocked)
-	return true
+	return p.reclaim(j, blocked)
 }
 
 // claimsFirst reports whether the job should use a guarantee even where other
@@ -269,7 +268,9 @@
 		}
 		own = append(own, a)
 	}
-	slices.SortStableFunc(own, func(a, b *active) int { return cmp.Compare(p.lossOf(a), p.lossOf(b)) })
+	slices.SortStableFunc(own, func(a, b *active) int {
+		return cmp.Compare(p.lossOf(a, encoder.StopReclaim), p.lossOf(b, encoder.StopReclaim))
+	})
 	for _, a := range own {
 		if beyond <= 0 {
 			break
@@ -301,7 +302,7 @@
 	left := free.Clone()
 	left.Take(places)
 	for _, pl := range places {
-		if r := left[pl.Node]; r.Processors < 0 || r.MemoryMB < 0 || r.Accelerators < 0 {
+		if !left[pl.Node].Valid() {
 			return false
 		}
 	}
@@ -310,23 +311,34 @@
 
 // reclaim stops the borrowers with the least work to lose and keeps the place
 // for the claimant meanwhile.
-func (p *pass) reclaim(j *reducer.Job, c *claimPlace) {
+func (p *pass) reclaim(j *reducer.Job, c *claimPlace) bool {
 	c.shape.room.Take(c.places)
 	c.shape.used++
-	p.hold(j, c.places, c.shape.claim)
+	if !p.hold(j, c.places, c.shape.claim) {
+		return false
+	}
 	p.note(j, "borrowed workers are being reclaimed for guarantee "+c.shape.claim)
+	return true
 }
 
 // hold clears the places for a job and keeps others away from them, in this
-// pass and in those that follow until the job starts.
-func (p *pass) hold(j *reducer.Job, places []placer.Place, claim string) {
-	p.plan.Holds[j.ID] = Pending{Claim: claim, Placements: p.toPlacements(places)}
-	p.free.Take(places)
-	need := "urgent work"
-	if claim != "" {
+// pass and in those that follow until the job starts. It returns false, and
+// stops nothing, when the places can't be cleared.
+func (p *pass) hold(j *reducer.Job, places []placer.Place, claim string) bool {
+	need := "its turn, which is long overdue"
+	switch {
+	case claim != "":
 		need = "guarantee " + claim + " of workspace " + j.Spec.Workspace
+	case j.Spec.Urgent:
+		need = "urgent work"
+	}
+	p.free.Take(places)
+	if !p.evict(places, j, need) {
+		p.free.Give(places)
+		return false
 	}
-	p.evict(places, j, need)
+	p.plan.Holds[j.ID] = Pending{Claim: claim, Placements: p.toPlacements(places)}
+	return true
 }
 
 // decideHeld starts a job on the workers that were cleared for it, or goes on
@@ -334,15 +346,12 @@
 func (p *pass) decideHeld(j *reducer.Job, h *active) {
 	p.free.Give(h.places)
 	p.usage[j.Spec.Workspace] -= j.Spec.TotalAccelerators()
-	if !p.covered(p.free, h.places) {
-		p.hold(j, h.places, h.attempt.Claim)
-		return
-	}
-	if h.attempt.Claim != "" && p.freeQuota(j) {
+	wait := !p.covered(p.free, h.places) || (h.attempt.Claim != "" && p.freeQuota(j))
+	if wait {
 		p.hold(j, h.places, h.attempt.Claim)
 		return
 	}
-	reason := "on workers cleared for urgent work"
+	reason := "on workers that were cleared for it"
 	if h.attempt.Claim != "" {
 		reason = "claims guarantee " + h.attempt.Claim
 	}
@@ -350,22 +359,38 @@
 }
 
 // evict stops reclaimable attempts until the places, which are taken from the
-// free workers already, are covered.
-func (p *pass) evict(places []placer.Place, j *reducer.Job, need string) {
-	left := p.freeSoon()
+// free workers already, are covered. It returns false, and stops nothing, when
+// that is not possible.
+func (p *pass) evict(places []placer.Place, j *reducer.Job, need string) bool {
+	left, cause := p.freeSoon(), encoder.StopReclaim
+	if j.Spec.Urgent {
+		cause = encoder.StopUrgent
+	}
+	chosen := map[*active]bool{}
+	var order []*active
 	for _, pl := range places {
-		for _, a := range p.victims(pl.Node) {
-			if r := left[pl.Node]; r.Processors >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 {
+		for _, a := range p.victims(pl.Node, cause) {
+			if left[pl.Node].Valid() {
 				break
 			}
-			left.Give(a.places)
-			p.stop(a, encoder.StopReclaim, fmt.Sprintf("job %s needs the workers for %s", j.ID, need))
+			if !chosen[a] {
+				chosen[a] = true
+				order = append(order, a)
+				left.Give(a.places)
+			}
+		}
+		if !left[pl.Node].Valid() {
+			return false
 		}
 	}
+	for _, a := range order {
+		p.stop(a, cause, fmt.Sprintf("job %s needs the workers for %s", j.ID, need))
+	}
+	return true
 }
 
 // victims returns the attempts on a node that may be stopped, least loss first.
-func (p *pass) victims(node int) []*active {
+func (p *pass) victims(node int, cause encoder.StopCause) []*active {
 	var list []*active
 	for _, a := range p.actives {
 		onNode := slices.ContainsFunc(a.places, func(pl placer.Place) bool { return pl.Node == node })
@@ -373,17 +398,17 @@
 			list = append(list, a)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *active) int { return cmp.Compare(p.lossOf(a), p.lossOf(b)) })
+	slices.SortStableFunc(list, func(a, b *active) int { return cmp.Compare(p.lossOf(a, cause), p.lossOf(b, cause)) })
 	return list
 }
 
 // lossOf estimates the accelerator milliseconds that a stop throws away.
-func (p *pass) lossOf(a *active) int64 {
+func (p *pass) lossOf(a *active, cause encoder.StopCause) int64 {
 	weight := int64(max(a.job.Spec.TotalAccelerators(), 1))
 	if a.job.Spec.Urgent {
 		weight *= 1000
 	}
-	if a.job.Spec.Checkpointable {
+	if a.job.Spec.Checkpointable && cause != encoder.StopUrgent {
 		return weight * CheckpointCostMS
 	}
 	return weight * (p.in.NowMS - a.attempt.CommittedMS + CheckpointCostMS)
@@ -392,11 +417,11 @@
 // CheckpointCostMS is the run time that a checkpoint and a restart cost.
 const CheckpointCostMS = 2000
 
-func (p *pass) victimCost(places []placer.Place) int64 {
+func (p *pass) victimCost(places []placer.Place, cause encoder.StopCause) int64 {
 	var cost int64
 	for _, pl := range places {
-		for _, a := range p.victims(pl.Node) {
-			cost += p.lossOf(a)
+		for _, a := range p.victims(pl.Node, cause) {
+			cost += p.lossOf(a, cause)
 		}
 	}
 	return cost
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -282,9 +282,7 @@
 // rank orders by class and then by the highest response ratio, which favours
 // short jobs and lets no job wait for ever.
 func (p *pass) rank(j *reducer.Job) float64 {
-	run := float64(max(EstimateMS(j), 1000))
-	wait := float64(p.in.NowMS - j.SubmittedMS - j.RanMS)
-	rank := min((max(wait, 0)+run)/run, rankClaim/2)
+	rank := min(p.responseRatio(j), rankClaim/2)
 	if p.mayClaim(j) {
 		rank += rankClaim
 	}
@@ -294,6 +292,13 @@
 	return rank
 }
 
+// responseRatio is the expected time in the system over the expected run time.
+func (p *pass) responseRatio(j *reducer.Job) float64 {
+	run := float64(max(EstimateMS(j), 1000))
+	wait := float64(p.in.NowMS - j.SubmittedMS - j.RanMS)
+	return (max(wait, 0) + run) / run
+}
+
 func (p *pass) decide(j *reducer.Job) {
 	if p.in.Recheck {
 		if reason := p.in.State.NeverFits(j); reason != "" {
@@ -316,7 +321,7 @@
 		p.note(j, "the quota of workspace "+j.Spec.Workspace+" is used up by its running jobs")
 		return
 	}
-	if p.startBorrowed(j) || p.reclaimForUrgent(j) {
+	if p.startBorrowed(j) || p.reclaimForUrgent(j) || p.clearForOverdue(j) {
 		return
 	}
 	p.reserve(j)
--- a/internal/control/planner/reserve.go
+++ b/internal/control/planner/reserve.go
@@ -85,9 +85,13 @@
 	return low
 }
 
-// unreserved returns free less the reservations that the job would disturb.
+// unreserved returns free less the reservations that the job would disturb. A
+// job that can be stopped cheaply disturbs none.
 func (p *pass) unreserved(j *reducer.Job, free placer.Free) placer.Free {
 	open := free
+	if mayBeCleared(j) {
+		return open
+	}
 	end := p.in.NowMS + EstimateMS(j)
 	for _, res := range p.reservations {
 		if end <= res.fromMS {
--- a/internal/control/planner/urgent.go
+++ b/internal/control/planner/urgent.go
@@ -20,8 +20,10 @@
 	if !ok {
 		return false
 	}
+	if !p.hold(j, places, "") {
+		return false
+	}
 	p.spare.Take(places)
-	p.hold(j, places, "")
 	p.note(j, "workers are being cleared for urgent work")
 	return true
 }
--- a/internal/ledger/encoder/entries.go
+++ b/internal/ledger/encoder/entries.go
@@ -143,6 +143,8 @@
 	StopDrain   StopCause = "Drain"
 	StopPartial StopCause = "Partial"
 	StopOverrun StopCause = "Overrun"
+	// StopUrgent waits for no checkpoint.
+	StopUrgent StopCause = "Urgent"
 )
 
 // StopRequested is the durable intent to stop an attempt.
--- a/internal/ledger/reducer/jobs.go
+++ b/internal/ledger/reducer/jobs.go
@@ -101,8 +101,10 @@
 	return nil
 }
 
-// Repeatable reports whether the job may be stopped and started again.
-func (j *Job) Repeatable() bool { return !j.Spec.NonIdempotent || j.Spec.Checkpointable }
+// Repeatable reports whether the job may be stopped at any moment and started
+// again. A job that may run only once is not, even if it can checkpoint: it may
+// not have done so yet.
+func (j *Job) Repeatable() bool { return !j.Spec.NonIdempotent }
 
 func (j *Job) event(offset uint64, e encoder.Entry, kind, format string, args ...any) {
 	j.Events = append(j.Events, Event{AtMS: e.At, Offset: offset, Kind: kind, Text: fmt.Sprintf(format, args...)})
@@ -353,7 +355,7 @@
 	j.RanMS += c.RunMS
 	j.ProgressMS = max(j.ProgressMS, c.ProgressMS)
 	if c.Result != encoder.ResultNotRun {
-		j.Resumable = c.Checkpointed && c.Result == encoder.ResultStopped
+		j.Resumable = c.Checkpointed && c.Result == encoder.ResultStopped && c.ProgressMS > 0
 	}
 	j.event(offset, e, "Ended", "attempt %d ended %s%s", a.Number, c.Result, withReason(c.Reason))
 	s.judgeWorkers(offset, e, j, a)
