--- a/internal/control/decider/attempts.go
+++ b/internal/control/decider/attempts.go
@@ -38,8 +38,8 @@
 		return
 	}
 	m.expirePending()
-	for _, id := range reducer.SortedKeys(m.state.Jobs) {
-		m.reconcile(m.state.Jobs[id])
+	for _, j := range m.state.LiveJobs() {
+		m.reconcile(j)
 	}
 	m.forgetSeen()
 }
--- a/internal/control/placer/place.go
+++ b/internal/control/placer/place.go
@@ -21,6 +21,9 @@
 type Options struct {
 	// Closed excludes nodes, in the fleet's order; nil excludes none.
 	Closed []bool
+	// RackWeights replaces the rule that the fullest rack goes first: among
+	// equal workers, the one with the least weight is taken. Weights are below 1024.
+	RackWeights []int
 	// Domain restricts the search to one failure domain.
 	Domain string
 }
@@ -38,41 +41,70 @@
 // tightest group first, takes the group that keeps the least free accelerators
 // and, within it, fills partly used nodes before empty ones.
 func (f *Fleet) Place(free Free, r Request, o Options) ([]Place, bool) {
+	s := f.survey(free, r, o)
+	if s.fits[len(f.Nodes)] < r.Tasks {
+		return nil, false
+	}
 	for level, adjacency := range levels {
 		if !adjacency.Satisfies(r.Within) && r.Within != "" {
 			break
 		}
-		if places, ok := f.placeAt(free, r, o, level); ok {
-			return places, true
+		if best, ok := f.bestSpan(s, r, level); ok {
+			return f.fillSpan(free, r, o, best), true
 		}
 	}
 	return nil, false
 }
 
-func (f *Fleet) placeAt(free Free, r Request, o Options, level int) ([]Place, bool) {
-	best, bestScore := -1, 0
-	racks := f.rackFree(free)
-	for i, s := range f.spans[level] {
-		if o.Domain != "" && f.Nodes[s.from].Domain != o.Domain {
+// survey holds sums over the nodes before each index, so that any group is
+// judged by two differences.
+type survey struct {
+	// fits counts how many tasks the nodes take.
+	fits []int
+	// weights measures what the nodes have left.
+	weights []int
+	// racks is the second rule of choice, for each node.
+	racks []int
+}
+
+func (f *Fleet) survey(free Free, r Request, o Options) survey {
+	n := len(f.Nodes)
+	sums := make([]int, 2*(n+1))
+	s := survey{fits: sums[:n+1], weights: sums[n+1:], racks: o.RackWeights}
+	for i := range f.Nodes {
+		s.fits[i+1], s.weights[i+1] = s.fits[i], s.weights[i]
+		if o.closed(i) || (o.Domain != "" && f.Nodes[i].Domain != o.Domain) {
 			continue
 		}
-		score, ok := f.scoreSpan(free, r, o, s)
-		// Among equals, the rack with the least left is taken first, so that
-		// whole racks stay free for large gangs.
-		score = score<<rackBits + min(racks[s.from], 1<<rackBits-1)
-		if ok && (best < 0 || score < bestScore) {
-			best, bestScore = i, score
-		}
+		s.fits[i+1] += free[i].fits(f.Need(r, i))
+		s.weights[i+1] += f.weight(free[i], r, i)
 	}
-	if best < 0 {
-		return nil, false
+	if s.racks == nil {
+		s.racks = f.rackFree(free)
 	}
-	return f.fillSpan(free, r, o, f.spans[level][best]), true
+	return s
 }
 
-// rackBits is the room in a score for a rack's free accelerators.
+// rackBits is the room in a score for a rack's weight.
 const rackBits = 10
 
+// bestSpan returns the group of a level that holds the request and keeps the
+// least. Among equals, the rack with the least weight is taken first, so that
+// whole racks stay free for large gangs.
+func (f *Fleet) bestSpan(s survey, r Request, level int) (best span, ok bool) {
+	bestScore := 0
+	for _, sp := range f.spans[level] {
+		if s.fits[sp.to]-s.fits[sp.from] < r.Tasks {
+			continue
+		}
+		score := (s.weights[sp.to]-s.weights[sp.from])<<rackBits + min(max(s.racks[sp.from], 0), 1<<rackBits-1)
+		if !ok || score < bestScore {
+			best, bestScore, ok = sp, score, true
+		}
+	}
+	return best, ok
+}
+
 // rackFree returns for each node the free accelerators of its rack.
 func (f *Fleet) rackFree(free Free) []int {
 	racks := make([]int, len(f.Nodes))
@@ -88,20 +120,6 @@
 	return racks
 }
 
-// scoreSpan reports whether the span holds the request, and how much would be
-// left free; less is better.
-func (f *Fleet) scoreSpan(free Free, r Request, o Options, s span) (score int, ok bool) {
-	fit, left := 0, 0
-	for i := s.from; i < s.to; i++ {
-		if o.closed(i) {
-			continue
-		}
-		fit += free[i].fits(f.Need(r, i))
-		left += f.weight(free[i], r, i)
-	}
-	return left, fit >= r.Tasks
-}
-
 // weight measures what a node has left. For requests without accelerators it
 // makes nodes that have accelerators the last choice.
 func (f *Fleet) weight(free Resources, r Request, node int) int {
--- /dev/null
+++ b/internal/control/planner/decide_test.go
@@ -0,0 +1,87 @@
+package planner_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"daisyhead/internal/control/planner"
+	"daisyhead/internal/entry/specifier"
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+)
+
+// letterState returns a state at a multiple of the letter's size: workers,
+// tasks in running jobs of 21 tasks each, and 40 waiting jobs.
+func letterState(workers, tasks int) (*driver, int) {
+	s := sites[2]
+	perDomain := workers / s.domains / s.perRack
+	s.racks, s.plainRacks = max(perDomain/4, 1), perDomain-max(perDomain/4, 1)
+	d := newDriver(workload{fleet: s.fleet()}, planner.Plan)
+	running := 0
+	for n := 0; running < tasks; n++ {
+		j := specifier.Job{
+			Key: fmt.Sprint("run", n), Name: "run", Workspace: fmt.Sprintf("ws%d", n%s.workspaces), Tasks: 21, Processors: 1, MemoryMB: 1024,
+			Checkpointable: n%2 == 0, RunTime: specifier.Duration(3 * time.Hour),
+		}
+		if n%6 == 0 {
+			j.Tasks, j.Accelerators, j.Within, j.Processors, j.MemoryMB = 2, 8, specifier.WithinRack, 32, 65536
+		}
+		running += j.Tasks
+		d.submit(plannedJob{trueMS: 1 << 40, spec: j.Normalize()})
+		if n%50 == 49 {
+			d.step()
+		}
+	}
+	d.step()
+	for n := range 40 {
+		j := specifier.Job{
+			Key: fmt.Sprint("wait", n), Name: "wait", Workspace: fmt.Sprintf("ws%d", n%s.workspaces), Tasks: 64, Processors: 64, MemoryMB: 131072, Accelerators: 8,
+			Within: specifier.WithinRegion, RunTime: specifier.Duration(time.Hour),
+		}
+		d.submit(plannedJob{trueMS: 1 << 40, spec: j.Normalize()})
+	}
+	return d, running
+}
+
+// BenchmarkDecide measures one decision pass and the state's size, at the
+// letter's size and at twice its workers and tasks.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ workers, tasks int }{{768, 14000}, {1536, 14000}, {768, 28000}, {1536, 28000}} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
+			d, _ := letterState(size.workers, size.tasks)
+			d.nowMS += 60 * 1000
+			var passes []float64
+			b.ReportAllocs()
+			for b.Loop() {
+				start := time.Now()
+				planner.Plan(planner.Input{State: d.s, NowMS: d.nowMS, Ready: d.ready()})
+				passes = append(passes, float64(time.Since(start).Microseconds())/1000)
+			}
+			b.ReportMetric(percentile(passes, 0.99), "p99ms")
+			b.ReportMetric(percentile(passes, 0.5), "p50ms")
+			b.ReportMetric(stateMB(d.s), "stateMB")
+		})
+	}
+}
+
+// stateMB returns the heap that a copy of the state takes.
+func stateMB(s *reducer.State) float64 {
+	data, err := encoder.Marshal(s)
+	if err != nil {
+		return 0
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	copied := reducer.New()
+	if err := encoder.Unmarshal(data, copied); err != nil {
+		return 0
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(copied)
+	return (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / (1 << 20)
+}
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -122,6 +122,7 @@
 type pass struct {
 	in     Input
 	plan   Decision
+	live   []*reducer.Job
 	fleet  *placer.Fleet
 	closed []bool
 	// doubtful marks closed nodes and those where the last job failed.
@@ -137,16 +138,53 @@
 	perAccelerator placer.Resources
 	reservations   []reservation
 	holds          map[string]*active
+	rackWeights    []int
+	// failed holds the requests that found no place in this pass. Free workers
+	// only grow fewer within a pass.
+	failed map[failure]bool
+	clears int
+}
+
+// room names the workers on which a place was looked for.
+type room int
+
+const (
+	roomSpare room = iota
+	roomFree
+	roomEmpty
+)
+
+// failure is a request that found no place.
+type failure struct {
+	room    room
+	request placer.Request
+	once    bool
+	clears  bool
+}
+
+// placeIn is place on a room that only shrinks within a pass: a request that
+// found no place there is not tried again.
+func (p *pass) placeIn(kind room, j *reducer.Job, free func() placer.Free) ([]placer.Place, bool) {
+	key := failure{kind, placer.ForJob(j.Spec), j.Spec.NonIdempotent, mayBeCleared(j)}
+	if p.failed[key] {
+		return nil, false
+	}
+	places, ok := p.place(j, free())
+	if !ok && len(j.FailedOn) == 0 {
+		p.failed[key] = true
+	}
+	return places, ok
 }
 
 func newPass(in Input) *pass {
-	p := &pass{in: in, fleet: in.State.Fleet(), usage: map[string]int{}, holds: map[string]*active{}}
+	p := &pass{in: in, live: in.State.LiveJobs(), fleet: in.State.Fleet(), failed: map[failure]bool{}, usage: map[string]int{}, holds: map[string]*active{}}
 	p.plan.Holds = map[string]Pending{}
 	p.closed, p.doubtful = p.closedNodes()
 	p.free = p.fleet.Totals()
 	p.collectActives()
 	p.perAccelerator = smallestShare(p.fleet)
 	p.packGuarantees()
+	p.rackWeights = p.weighRacks()
 	return p
 }
 
@@ -168,7 +206,11 @@
 // back to a worker where it failed only when no other could ever hold it.
 func (p *pass) place(j *reducer.Job, free placer.Free) ([]placer.Place, bool) {
 	r := placer.ForJob(j.Spec)
-	places, ok := p.fleet.Place(free, r, placer.Options{Closed: p.without(p.doubtful, j.FailedOn)})
+	o := placer.Options{Closed: p.without(p.doubtful, j.FailedOn)}
+	if !mayBeCleared(j) {
+		o.RackWeights = p.rackWeights
+	}
+	places, ok := p.fleet.Place(free, r, o)
 	if ok || j.Spec.NonIdempotent {
 		return places, ok
 	}
@@ -198,8 +240,8 @@
 }
 
 func (p *pass) collectActives() {
-	for _, id := range reducer.SortedKeys(p.in.State.Jobs) {
-		j := p.in.State.Jobs[id]
+	for _, j := range p.live {
+		id := j.ID
 		if a := j.Active(); a != nil {
 			p.addActive(&active{job: j, attempt: a, stopping: j.Status == reducer.JobStopping}, a.Placements)
 			continue
@@ -257,9 +299,8 @@
 // waiting returns the jobs that want to start, in the order of decision.
 func (p *pass) waiting() []*reducer.Job {
 	var jobs []*reducer.Job
-	for _, id := range reducer.SortedKeys(p.in.State.Jobs) {
-		j := p.in.State.Jobs[id]
-		if _, pending := p.in.Pending[id]; j.Status == reducer.JobWaiting && !pending {
+	for _, j := range p.live {
+		if _, pending := p.in.Pending[j.ID]; j.Status == reducer.JobWaiting && !pending {
 			jobs = append(jobs, j)
 		}
 	}
@@ -321,7 +362,7 @@
 		p.note(j, "the quota of workspace "+j.Spec.Workspace+" is used up by its running jobs")
 		return
 	}
-	if p.startBorrowed(j) || p.reclaimForUrgent(j) || p.clearForOverdue(j) {
+	if p.startBorrowed(j) || p.reclaimForUrgent(j) || p.clearForLarger(j) {
 		return
 	}
 	p.reserve(j)
@@ -363,8 +404,7 @@
 // be stopped and started again can use any free worker; other work only what
 // no guarantee needs.
 func (p *pass) startBorrowed(j *reducer.Job) bool {
-	open := p.unreserved(j, p.free)
-	if places, ok := p.place(j, open.Floor(p.spare)); ok {
+	if places, ok := p.placeIn(roomSpare, j, func() placer.Free { return p.unreserved(j, p.free).Floor(p.spare) }); ok {
 		p.spare.Take(places)
 		p.start(j, places, "", "on workers that no guarantee needs")
 		return true
@@ -372,7 +412,7 @@
 	if !j.Repeatable() {
 		return false
 	}
-	places, ok := p.place(j, open)
+	places, ok := p.placeIn(roomFree, j, func() placer.Free { return p.unreserved(j, p.free) })
 	if !ok {
 		return false
 	}
--- a/internal/ledger/reducer/jobs.go
+++ b/internal/ledger/reducer/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/encoder"
@@ -92,6 +93,18 @@
 	return false
 }
 
+// LiveJobs returns the jobs that have not ended, by ID.
+func (s *State) LiveJobs() []*Job {
+	live := make([]*Job, 0, len(s.Jobs)-len(s.Ended))
+	for _, j := range s.Jobs {
+		if !j.Status.Final() {
+			live = append(live, j)
+		}
+	}
+	slices.SortFunc(live, func(a, b *Job) int { return strings.Compare(a.ID, b.ID) })
+	return live
+}
+
 // Active returns the attempt that holds workers, or nil.
 func (j *Job) Active() *Attempt {
 	switch j.Status {
