Search only a domain's workers when packing and weigh racks once a pass

Cause: the profile of BenchmarkDecide: packing searched the whole fleet for each domain, racks were weighed for each placement, reasons for waiting searched anew.

--- a/internal/control/placer/fleet.go
+++ b/internal/control/placer/fleet.go
@@ -55,8 +55,11 @@
 	specifier.WithinWorker, specifier.WithinRack, specifier.WithinDomain, specifier.WithinRegion, specifier.WithinAny,
 }
 
-// rackLevel is the index of racks among the levels.
-const rackLevel = 1
+// Indexes among the levels.
+const (
+	rackLevel   = 1
+	domainLevel = 2
+)
 
 // NewFleet sorts the nodes and finds their groups.
 func NewFleet(nodes []Node) *Fleet {
--- a/internal/control/placer/pack.go
+++ b/internal/control/placer/pack.go
@@ -93,7 +93,7 @@
 
 func (f *Fleet) domainLoads() domainLoads {
 	var loads domainLoads
-	for _, s := range f.spans[2] {
+	for _, s := range f.spans[domainLevel] {
 		loads = append(loads, domainLoad{domain: f.Nodes[s.from].Domain})
 	}
 	return loads
--- a/internal/control/placer/place.go
+++ b/internal/control/placer/place.go
@@ -41,15 +41,19 @@
 // tightest group first, takes the group that keeps the least free accelerators
 // and, within it, fills partly used nodes before empty ones.
 func (f *Fleet) Place(free Free, r Request, o Options) ([]Place, bool) {
-	s := f.survey(free, r, o)
-	if s.fits[len(f.Nodes)] < r.Tasks {
+	area := f.area(o)
+	s := f.survey(free, r, o, area)
+	if s.fits[area.to] < r.Tasks {
 		return nil, false
 	}
+	if s.racks = o.RackWeights; s.racks == nil {
+		s.racks = f.rackSums(free, area)
+	}
 	for level, adjacency := range levels {
 		if !adjacency.Satisfies(r.Within) && r.Within != "" {
 			break
 		}
-		if best, ok := f.bestSpan(s, r, level); ok {
+		if best, ok := f.bestSpan(s, r, level, area); ok {
 			return f.fillSpan(free, r, o, best), true
 		}
 	}
@@ -67,34 +71,45 @@
 	racks []int
 }
 
-func (f *Fleet) survey(free Free, r Request, o Options) survey {
+func (f *Fleet) survey(free Free, r Request, o Options, area span) survey {
 	n := len(f.Nodes)
 	sums := make([]int, 2*(n+1))
-	s := survey{fits: sums[:n+1], weights: sums[n+1:], racks: o.RackWeights}
-	for i := range f.Nodes {
+	s := survey{fits: sums[:n+1], weights: sums[n+1:]}
+	for i := area.from; i < area.to; i++ {
 		s.fits[i+1], s.weights[i+1] = s.fits[i], s.weights[i]
-		if o.closed(i) || (o.Domain != "" && f.Nodes[i].Domain != o.Domain) {
+		if o.closed(i) {
 			continue
 		}
 		s.fits[i+1] += free[i].fits(f.Need(r, i))
 		s.weights[i+1] += f.weight(free[i], r, i)
 	}
-	if s.racks == nil {
-		s.racks = f.rackFree(free)
-	}
 	return s
 }
 
+// area returns the nodes that the options leave open to a search.
+func (f *Fleet) area(o Options) span {
+	for _, s := range f.spans[domainLevel] {
+		if o.Domain != "" && f.Nodes[s.from].Domain == o.Domain {
+			return s
+		}
+	}
+	if o.Domain != "" {
+		return span{}
+	}
+	return span{0, len(f.Nodes)}
+}
+
 // rackBits is the room in a score for a rack's weight.
 const rackBits = 10
 
 // bestSpan returns the group of a level that holds the request and keeps the
 // least. Among equals, the rack with the least weight is taken first, so that
 // whole racks stay free for large gangs.
-func (f *Fleet) bestSpan(s survey, r Request, level int) (best span, ok bool) {
+func (f *Fleet) bestSpan(s survey, r Request, level int, area span) (best span, ok bool) {
 	bestScore := 0
 	for _, sp := range f.spans[level] {
-		if s.fits[sp.to]-s.fits[sp.from] < r.Tasks {
+		sp.from, sp.to = max(sp.from, area.from), min(sp.to, area.to)
+		if sp.from >= sp.to || s.fits[sp.to]-s.fits[sp.from] < r.Tasks {
 			continue
 		}
 		score := (s.weights[sp.to]-s.weights[sp.from])<<rackBits + min(max(s.racks[sp.from], 0), 1<<rackBits-1)
@@ -105,10 +120,18 @@
 	return best, ok
 }
 
-// rackFree returns for each node the free accelerators of its rack.
-func (f *Fleet) rackFree(free Free) []int {
+// RackAccelerators returns for each node the sum of the accelerators of its rack.
+func (f *Fleet) RackAccelerators(free Free) []int {
+	return f.rackSums(free, span{0, len(f.Nodes)})
+}
+
+// rackSums is RackAccelerators for a part of the fleet.
+func (f *Fleet) rackSums(free Free, area span) []int {
 	racks := make([]int, len(f.Nodes))
 	for _, s := range f.spans[rackLevel] {
+		if s.to <= area.from || s.from >= area.to {
+			continue
+		}
 		sum := 0
 		for i := s.from; i < s.to; i++ {
 			sum += max(free[i].Accelerators, 0)
--- a/internal/control/planner/clear.go
+++ b/internal/control/planner/clear.go
@@ -2,7 +2,6 @@
 
 import (
 	"daisyhead/internal/control/placer"
-	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/reducer"
 )
 
@@ -94,22 +93,16 @@
 // weighRacks returns for each node how little its rack suits work that can't be
 // cleared: such work is kept together, so that other racks can be cleared whole.
 func (p *pass) weighRacks() []int {
-	weights := make([]int, len(p.fleet.Nodes))
-	for i := range weights {
-		weights[i] = maxRackWeight
-	}
+	fixed := make(placer.Free, len(p.fleet.Nodes))
 	for _, a := range p.actives {
-		if mayBeCleared(a.job) {
-			continue
-		}
-		for _, pl := range a.places {
-			for i, near := range p.fleet.Near(pl.Node, specifier.WithinRack) {
-				if near {
-					weights[i] -= pl.Tasks * pl.Each.Accelerators
-				}
-			}
+		if !mayBeCleared(a.job) {
+			fixed.Give(a.places)
 		}
 	}
+	weights := p.fleet.RackAccelerators(fixed)
+	for i := range weights {
+		weights[i] = maxRackWeight - weights[i]
+	}
 	return weights
 }
 
--- a/internal/control/planner/guarantees.go
+++ b/internal/control/planner/guarantees.go
@@ -140,7 +140,9 @@
 	}
 	open = p.packOn(hard, p.freeSoon().Floor(hard), open, p.doubtful)
 	open = p.packOn(hard, hard.Clone(), open, p.doubtful)
-	p.packOn(hard, hard.Clone(), open, p.closed)
+	if p.anyDoubt {
+		p.packOn(hard, hard.Clone(), open, p.closed)
+	}
 }
 
 // freeSoon is what is free once the attempts that are stopping have stopped.
@@ -211,7 +213,7 @@
 func (p *pass) startClaim(j *reducer.Job) bool {
 	var blocked *claimPlace
 	for _, s := range p.shapes {
-		if s.room == nil || !p.covers(s, j) {
+		if s.room == nil || !p.covers(s, j) || !s.mayHold(j) {
 			continue
 		}
 		places, ok := p.place(j, s.room)
@@ -285,6 +287,18 @@
 	return stopped
 }
 
+// mayHold reports whether the shape's workers have enough accelerators left.
+func (s *shape) mayHold(j *reducer.Job) bool {
+	left, last := 0, -1
+	for _, pl := range s.places {
+		if pl.Node != last {
+			left += max(s.room[pl.Node].Accelerators, 0)
+		}
+		last = pl.Node
+	}
+	return left >= j.Spec.TotalAccelerators()
+}
+
 // claimPlace is a place inside a shape that borrowers still use.
 type claimPlace struct {
 	shape  *shape
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -127,6 +127,8 @@
 	closed []bool
 	// doubtful marks closed nodes and those where the last job failed.
 	doubtful []bool
+	// anyDoubt is set when a doubtful node is not closed.
+	anyDoubt bool
 	// free is what nothing uses now.
 	free placer.Free
 	// spare is what neither unstoppable work nor unclaimed guarantees use.
@@ -142,7 +144,9 @@
 	// failed holds the requests that found no place in this pass. Free workers
 	// only grow fewer within a pass.
 	failed map[failure]bool
-	clears int
+	// possible holds the requests that have a place on the empty open workers.
+	possible map[failure]bool
+	clears   int
 }
 
 // room names the workers on which a place was looked for.
@@ -162,10 +166,25 @@
 	clears  bool
 }
 
+func failureOf(kind room, j *reducer.Job) failure {
+	return failure{kind, placer.ForJob(j.Spec), j.Spec.NonIdempotent, mayBeCleared(j)}
+}
+
+// fitsEmpty reports whether the open workers, if they were empty, would hold the job.
+func (p *pass) fitsEmpty(j *reducer.Job) bool {
+	key := failureOf(roomEmpty, j)
+	if p.possible[key] {
+		return true
+	}
+	_, ok := p.placeIn(roomEmpty, j, p.fleet.Totals)
+	p.possible[key] = ok && len(j.FailedOn) == 0
+	return ok
+}
+
 // placeIn is place on a room that only shrinks within a pass: a request that
 // found no place there is not tried again.
 func (p *pass) placeIn(kind room, j *reducer.Job, free func() placer.Free) ([]placer.Place, bool) {
-	key := failure{kind, placer.ForJob(j.Spec), j.Spec.NonIdempotent, mayBeCleared(j)}
+	key := failureOf(kind, j)
 	if p.failed[key] {
 		return nil, false
 	}
@@ -177,7 +196,7 @@
 }
 
 func newPass(in Input) *pass {
-	p := &pass{in: in, live: in.State.LiveJobs(), fleet: in.State.Fleet(), failed: map[failure]bool{}, usage: map[string]int{}, holds: map[string]*active{}}
+	p := &pass{in: in, live: in.State.LiveJobs(), fleet: in.State.Fleet(), failed: map[failure]bool{}, possible: map[failure]bool{}, usage: map[string]int{}, holds: map[string]*active{}}
 	p.plan.Holds = map[string]Pending{}
 	p.closed, p.doubtful = p.closedNodes()
 	p.free = p.fleet.Totals()
@@ -197,6 +216,7 @@
 			closed[i] = true
 		}
 		doubtful[i] = closed[i] || h.Probation || len(h.FailedJobs) > 0
+		p.anyDoubt = p.anyDoubt || doubtful[i] != closed[i]
 	}
 	return closed, doubtful
 }
@@ -215,7 +235,9 @@
 		return places, ok
 	}
 	elsewhere := placer.Options{Closed: p.without(p.closed, j.FailedOn)}
-	places, ok = p.fleet.Place(free, r, elsewhere)
+	if p.anyDoubt {
+		places, ok = p.fleet.Place(free, r, elsewhere)
+	}
 	if ok || len(j.FailedOn) == 0 {
 		return places, ok
 	}
--- a/internal/control/planner/reserve.go
+++ b/internal/control/planner/reserve.go
@@ -35,7 +35,7 @@
 func (p *pass) waitReason(j *reducer.Job) string {
 	r := placer.ForJob(j.Spec)
 	need := fmt.Sprintf("%d x %d accelerators, %d processors and %d MB within %s", r.Tasks, r.Each.Accelerators, r.Each.Processors, r.Each.MemoryMB, r.Within)
-	if _, ok := p.placeIn(roomEmpty, j, p.fleet.Totals); !ok {
+	if !p.fitsEmpty(j) {
 		return "the workers in service now, even empty, have no place for " + need
 	}
 	if _, ok := p.placeIn(roomFree, j, func() placer.Free { return p.free }); ok && !j.Repeatable() {
