Renew all leases of a worker by one reading and leave unchanged tables out

Cause: BenchmarkRenewal: 775 bytes of body a renewal; at 760 workers every 4 s the holder would send and receive 147 KB/s of bodies alone. Change: one reading of the worker's clock renews every running attempt of a known table version, exceptions are listed, an unchanged table is not sent again.

--- a/internal/control/decider/workers.go
+++ b/internal/control/decider/workers.go
@@ -195,11 +195,14 @@
 	if m.hasFirstLease(w) {
 		r.WaitMS = min(r.WaitMS, m.cfg.StartLeaseMS/firstLeaseShare)
 	}
+	r.RenewAll = clock + m.cfg.LeaseMS - m.cfg.RenewMS
 	for _, ref := range sortedReferences(w.table) {
 		status := w.table[ref]
 		switch {
 		case m.renewable(ref, status):
-			r.Leases = append(r.Leases, runner.Lease{Job: ref.Job, Attempt: ref.Attempt, Until: clock + m.leaseFor(w, ref)})
+			m.renew(&r, w, ref, clock)
+		case status.State == runner.TaskRunning:
+			r.Except = append(r.Except, ref)
 		case status.State.Final() && m.fresh() && !m.isActive(ref) && m.pending[ref.Job] == nil:
 			r.Forget = append(r.Forget, ref)
 		}
@@ -207,6 +210,19 @@
 	return r
 }
 
+// renew extends one attempt: with all others where its gang allows that, else
+// by a lease of its own.
+func (m *Model) renew(r *runner.ExchangeRequest, w *worker, ref runner.Reference, clock int64) {
+	lease := m.leaseFor(w, ref)
+	if clock+lease >= r.RenewAll {
+		return
+	}
+	r.Except = append(r.Except, ref)
+	if lease > 0 {
+		r.Leases = append(r.Leases, runner.Lease{Job: ref.Job, Attempt: ref.Attempt, Until: clock + lease})
+	}
+}
+
 // firstLeaseShare is the part of the first lease, one in so many, after which
 // a worker with tasks on it is asked again.
 const firstLeaseShare = 4
@@ -297,6 +313,9 @@
 	}
 	w.boot, w.version, w.clockMS, w.clockAtMS = r.Boot, r.Version, r.ClockMS, m.at.MonoMS
 	w.heard, w.heardMS, w.failures, w.lastError = true, m.at.MonoMS, 0, ""
+	if r.Unchanged {
+		return
+	}
 	w.table = make(map[runner.Reference]runner.Status, len(r.Tasks))
 	for _, t := range r.Tasks {
 		w.table[runner.Reference{Job: t.Job, Attempt: t.Attempt}] = t
--- a/internal/platform/runner/runner.go
+++ b/internal/platform/runner/runner.go
@@ -75,8 +75,14 @@
 
 // ExchangeRequest renews leases and asks for the worker's table.
 type ExchangeRequest struct {
-	Term   uint64
-	Boot   string
+	Term uint64
+	Boot string
+	// RenewAll, when set, extends every attempt that runs in the table of
+	// version Since up to this reading of the worker's clock, but those in Except.
+	// A worker whose table has another version ignores it.
+	RenewAll int64       `json:",omitempty"`
+	Except   []Reference `json:",omitempty"`
+	// Leases extend single attempts, whatever the table's version.
 	Leases []Lease     `json:",omitempty"`
 	Forget []Reference `json:",omitempty"`
 	// Since is the latest table version that the sender has seen. The worker
@@ -91,7 +97,9 @@
 	ClockMS int64
 	Version uint64
 	Term    uint64
-	Tasks   []Status
+	// Unchanged is set instead of Tasks when the table's version is Since.
+	Unchanged bool     `json:",omitempty"`
+	Tasks     []Status `json:",omitempty"`
 }
 
 // ReserveRequest holds resources for the tasks of an attempt.
--- a/internal/standin/taskrunner/requests.go
+++ b/internal/standin/taskrunner/requests.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"daisyhead/internal/platform/runner"
@@ -23,7 +24,7 @@
 	timeout := time.NewTimer(min(time.Duration(q.WaitMS)*time.Millisecond, maxWait))
 	defer timeout.Stop()
 	for {
-		reply, changed := r.table()
+		reply, changed := r.table(q)
 		if q.WaitMS <= 0 || reply.Version > q.Since || reply.Boot != q.Boot {
 			return reply
 		}
@@ -47,6 +48,9 @@
 	if q.Boot != r.boot {
 		return
 	}
+	if q.RenewAll > 0 && q.Since == r.version {
+		r.renewAll(q)
+	}
 	for _, l := range q.Leases {
 		e, ok := r.entries[runner.Reference{Job: l.Job, Attempt: l.Attempt}]
 		if ok && e.State == runner.TaskRunning && l.Until > e.leaseUntil {
@@ -60,10 +64,22 @@
 	}
 }
 
-func (r *Runner) table() (runner.ExchangeReply, chan struct{}) {
+func (r *Runner) renewAll(q runner.ExchangeRequest) {
+	for ref, e := range r.entries {
+		if e.State == runner.TaskRunning && q.RenewAll > e.leaseUntil && !slices.Contains(q.Except, ref) {
+			e.leaseUntil = q.RenewAll
+		}
+	}
+}
+
+func (r *Runner) table(q runner.ExchangeRequest) (runner.ExchangeReply, chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := runner.ExchangeReply{Boot: r.boot, ClockMS: r.clock(), Version: r.version, Term: r.term}
+	if q.Boot == r.boot && q.Since == r.version {
+		reply.Unchanged = true
+		return reply, r.changed
+	}
 	for _, e := range r.entries {
 		reply.Tasks = append(reply.Tasks, r.status(e))
 	}
