--- /dev/null
+++ b/internal/control/decider/golden_test.go
@@ -0,0 +1,152 @@
+package decider_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"daisyhead/internal/control/decider"
+	"daisyhead/internal/entry/specifier"
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/platform/runner"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// session plays messages to a model whose proposals are folded at once, and
+// writes down each message and each command.
+type session struct {
+	m        decider.Model
+	at       decider.Instant
+	next     uint64
+	sequence uint64
+	out      strings.Builder
+}
+
+func (s *session) play(msg decider.Msg) {
+	s.write("> ", msg)
+	var cmds []decider.Command
+	s.m, cmds = s.m.Update(s.at, msg)
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case decider.PublishCmd:
+		case decider.ProposeCmd:
+			s.write("  ", c)
+			s.fold(c)
+		default:
+			s.write("  ", c)
+		}
+	}
+}
+
+func (s *session) write(mark string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Fprintf(&s.out, "%s%d %s %s\n", mark, s.at.MonoMS, strings.TrimPrefix(fmt.Sprintf("%T", v), "decider."), shorten(string(data)))
+}
+
+// shorten leaves out the kinds of entry that are not set.
+func shorten(text string) string {
+	for _, kind := range []string{
+		"TermClaimed", "TermRenewed", "MembersChanged", "TicketReceived", "JobSubmitted", "CancelRequested", "JobRefused", "JobNoted", "AttemptUnwound",
+		"AttemptCommitted", "AttemptRunning", "StopRequested", "AttemptEnded", "WorkerObserved", "RequestClaimed", "RequestEnded", "SnapshotWritten",
+	} {
+		text = strings.ReplaceAll(text, `"`+kind+`":null,`, "")
+		text = strings.ReplaceAll(text, `,"`+kind+`":null`, "")
+	}
+	return text
+}
+
+func (s *session) fold(c decider.ProposeCmd) {
+	s.sequence++
+	b := encoder.Batch{Version: 1, Writer: "i1/1", Sequence: s.sequence, Entries: c.Entries}
+	s.read(b)
+	results := make([]reducer.Result, len(c.Entries))
+	for i := range results {
+		results[i].OK = true
+	}
+	s.play(decider.ProposedMsg{Keys: c.Keys, Results: results})
+}
+
+func (s *session) read(batches ...encoder.Batch) {
+	msg := decider.RecordsReadMsg{SentMS: s.at.MonoMS, CaughtUp: true}
+	for _, b := range batches {
+		msg.Records = append(msg.Records, decider.ReadRecord{Offset: s.next, Batch: b})
+		s.next++
+	}
+	s.play(msg)
+}
+
+func (s *session) after(ms int64, msg decider.Msg) {
+	s.at.MonoMS += ms
+	s.at.WallMS += ms
+	s.play(msg)
+}
+
+// TestSession replays a whole session: a term is claimed, a gang is reserved,
+// started, runs, and finishes; each decision must come out the same.
+func TestSession(t *testing.T) {
+	s := &session{at: decider.Instant{WallMS: 1764840000000}}
+	s.m = decider.New(decider.Config{
+		Name: "i1", Writer: "i1/1", LeaseMS: 4000, RenewMS: 1000, MessageLifeMS: 2000, HoldMS: 4000, StartWindowMS: 3000, StartLeaseMS: 4000,
+		FreshMS: 2000, HolderTimeoutMS: 1500, MemberTimeoutMS: 3000, LostAfterMS: 9000, MarginMS: 500, PlanMS: 50, SnapshotMS: 60000, SnapshotRecords: 1000,
+	}, reducer.New())
+	ticket := specifier.Ticket{Number: 1, Operator: "op", Workspaces: []specifier.Workspace{{Name: "a"}}, Domains: []specifier.Domain{{Name: "d", Region: "r", State: specifier.DomainIn}}}
+	ticket.WorkerGroups = []specifier.WorkerGroup{{Name: "r1", Domain: "d", Rack: "r1", Workers: []specifier.Worker{
+		{Name: "w1", Address: "10.0.0.1:1", Processors: 8, MemoryMB: 8000, Accelerators: 8}, {Name: "w2", Address: "10.0.0.2:1", Processors: 8, MemoryMB: 8000, Accelerators: 8},
+	}}}
+	j := specifier.Job{Key: "k", Name: "pair", Workspace: "a", Tasks: 2, Accelerators: 8, Within: specifier.WithinRack}
+	id := j.ID()
+	table := func(version uint64, state runner.TaskState) runner.ExchangeReply {
+		r := runner.ExchangeReply{Boot: "b", ClockMS: 100 + s.at.MonoMS, Version: version, Term: 1}
+		if state != "" {
+			r.Tasks = []runner.Status{{Job: id, Attempt: 1, Tasks: 1, State: state, Started: state != runner.TaskReserved, RanMS: 1200}}
+		}
+		return r
+	}
+	reply := func(version uint64, state runner.TaskState) runner.Reply {
+		return runner.Reply{OK: true, Boot: "b", Version: version, Term: 1, Status: runner.Status{Job: id, Attempt: 1, Tasks: 1, State: state, Started: state != runner.TaskReserved}}
+	}
+	s.read()
+	s.after(100, decider.TickMsg{})
+	s.after(10, decider.ConfigReadMsg{Tickets: []encoder.TicketReceived{{ConfigOffset: 0, SubmissionID: "x", Ticket: ticket}}})
+	s.after(90, decider.TickMsg{})
+	s.after(1, decider.ExchangedMsg{Worker: "w1", Reply: table(1, "")})
+	s.after(0, decider.ExchangedMsg{Worker: "w2", Reply: table(1, "")})
+	s.after(300, decider.TickMsg{})
+	s.read(encoder.Batch{Version: 1, Writer: "i2/7", Sequence: 1, Entries: []encoder.Entry{{At: s.at.WallMS, JobSubmitted: &encoder.JobSubmitted{ID: id, By: "caller", Job: j}}}})
+	s.after(100, decider.TickMsg{})
+	s.after(2, decider.ReservedMsg{Worker: "w1", Job: id, Attempt: 1, Reply: reply(2, runner.TaskReserved)})
+	s.after(1, decider.ReservedMsg{Worker: "w2", Job: id, Attempt: 1, Reply: reply(2, runner.TaskReserved)})
+	s.after(2, decider.StartedMsg{Worker: "w1", Job: id, Attempt: 1, Reply: reply(3, runner.TaskRunning)})
+	s.after(1, decider.StartedMsg{Worker: "w2", Job: id, Attempt: 1, Reply: reply(3, runner.TaskRunning)})
+	s.after(1200, decider.ExchangedMsg{Worker: "w1", Reply: table(4, runner.TaskFinished)})
+	s.read()
+	s.after(1, decider.ExchangedMsg{Worker: "w2", Reply: table(4, runner.TaskFinished)})
+	s.after(100, decider.TickMsg{})
+	golden(t, "testdata/gang.txt", s.out.String())
+}
+
+func golden(t *testing.T, file, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s differs (-want +got):\n%s", file, diff)
+	}
+}
--- a/internal/entry/parser/parser.go
+++ b/internal/entry/parser/parser.go
@@ -46,7 +46,7 @@
 	return strings.Join(lines, "\n")
 }
 
-// Lines maps each key's path to the line where its value stands.
+// Lines maps each key's path to the line where it stands.
 type Lines map[string]int
 
 // Parse decodes the YAML in data into target, a pointer to a struct. Fields
@@ -135,6 +135,7 @@
 			d.fail(name, path, "the key stands twice")
 		default:
 			d.decode(value, field, path)
+			d.lines[path] = name.Line
 		}
 		seen[name.Value] = true
 	}
--- /dev/null
+++ b/internal/ledger/encoder/encoder_test.go
@@ -0,0 +1,84 @@
+package encoder_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+)
+
+func batch() encoder.Batch {
+	return encoder.Batch{Version: 1, Writer: "i1/a", Sequence: 3, Entries: []encoder.Entry{
+		{At: 5, TermClaimed: &encoder.TermClaimed{Term: 1, Holder: "i1/a"}},
+		{At: 6, RequestEnded: &encoder.RequestEnded{Workspace: "a", Key: "k", Outcome: encoder.OutcomeRan, Body: []byte("x")}},
+	}}
+}
+
+func TestRoundTrip(t *testing.T) {
+	data, err := encoder.Encode(batch())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := encoder.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(batch(), got); diff != "" {
+		t.Errorf("batch differs (-want +got):\n%s", diff)
+	}
+}
+
+func TestUnreadableRecords(t *testing.T) {
+	newer, err := encoder.Marshal(encoder.Batch{Version: encoder.Version + 1, Writer: "i1/a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"empty", nil, encoder.ErrCorrupt},
+		{"foreign", []byte(`{"hello":1}`), encoder.ErrCorrupt},
+		{"no batch", []byte{0xa0}, encoder.ErrCorrupt},
+		{"newer", newer, encoder.ErrNewer},
+	} {
+		if _, err := encoder.Decode(test.data); !errors.Is(err, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, err, test.want)
+		}
+	}
+}
+
+// FuzzDecode feeds any bytes to the decoder and the fold: neither may panic,
+// and a record that is read once is written the same again.
+func FuzzDecode(f *testing.F) {
+	data, err := encoder.Encode(batch())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := encoder.Decode(data)
+		if err != nil {
+			return
+		}
+		reducer.New().Apply(0, b)
+		again, err := encoder.Encode(b)
+		if err != nil {
+			return
+		}
+		c, err := encoder.Decode(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Version = b.Version
+		once, _ := encoder.Encode(c)
+		if string(once) != string(again) {
+			t.Error("the encoding is not stable")
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/recorder/recorder_test.go
@@ -0,0 +1,132 @@
+package recorder_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/recorder"
+	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/platform/appender"
+)
+
+// log keeps records in memory; fault decides the fate of each append.
+type log struct {
+	mu      sync.Mutex
+	records [][]byte
+	appends int
+	fault   func(n int) (keep, answer bool)
+}
+
+func (l *log) Append(ctx context.Context, data []byte) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	keep, answer := l.fault(l.appends)
+	if keep {
+		l.records = append(l.records, data)
+	}
+	if !answer {
+		return 0, errors.New("no answer")
+	}
+	return uint64(len(l.records) - 1), nil
+}
+
+func (l *log) Read(context.Context, uint64, int, time.Duration) (appender.Page, error) {
+	return appender.Page{}, errors.New("not read")
+}
+
+// follow folds what the log keeps and resolves the recorder.
+func (l *log) follow(ctx context.Context, r *recorder.Recorder, s *reducer.State) {
+	for ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+		l.mu.Lock()
+		records := l.records[s.Next:]
+		l.mu.Unlock()
+		for _, data := range records {
+			batch, err := encoder.Decode(data)
+			if err != nil {
+				panic(err)
+			}
+			r.Resolve(batch.Sequence, s.Apply(s.Next, batch))
+		}
+	}
+}
+
+func claim(key string) encoder.Entry {
+	return encoder.Entry{RequestClaimed: &encoder.RequestClaimed{Workspace: "a", Key: key, Holder: "i1/a", Digest: key}}
+}
+
+func TestFaultsOfTheLog(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(n int) (keep, answer bool)
+		// err is what the proposer is told, claims what the fold holds at the end.
+		err    error
+		claims int
+	}{
+		{"none", func(int) (bool, bool) { return true, true }, nil, 1},
+		{"the answer is lost after the append took effect", func(int) (bool, bool) { return true, false }, nil, 1},
+		{"the first three appends fail", func(n int) (bool, bool) { return n > 3, n > 3 }, nil, 1},
+		{"every append is kept twice", func(n int) (bool, bool) { return true, n > 1 }, nil, 1},
+		{"the log is down", func(int) (bool, bool) { return false, false }, recorder.ErrUnknown, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				l, s := &log{fault: test.fault}, reducer.New()
+				r := recorder.New(recorder.Config{Writer: "i1/a", AppendTimeout: 500 * time.Millisecond, AppendsPerSecond: 100, AppendBurst: 10}, l)
+				go r.Run(ctx)
+				go l.follow(ctx, r, s)
+				pctx, pcancel := context.WithTimeout(ctx, 10*time.Second)
+				defer pcancel()
+				_, err := r.Propose(pctx, claim("k"))
+				if !errors.Is(err, test.err) {
+					t.Errorf("error %v, want %v", err, test.err)
+				}
+				cancel()
+				time.Sleep(time.Minute)
+				if len(s.Claims) != test.claims {
+					t.Errorf("%d claims, want %d", len(s.Claims), test.claims)
+				}
+			})
+		})
+	}
+}
+
+// TestWithdrawnIsNeverSent lets a proposal give up while another is in flight.
+func TestWithdrawnIsNeverSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		down := true
+		l, s := &log{}, reducer.New()
+		l.fault = func(int) (bool, bool) { return !down, !down }
+		r := recorder.New(recorder.Config{Writer: "i1/a", AppendTimeout: time.Second, AppendsPerSecond: 100, AppendBurst: 10}, l)
+		go r.Run(ctx)
+		go l.follow(ctx, r, s)
+		go func() { _, _ = r.Propose(ctx, claim("first")) }()
+		time.Sleep(100 * time.Millisecond)
+		short, cancelShort := context.WithTimeout(ctx, time.Second)
+		_, err := r.Propose(short, claim("second"))
+		cancelShort()
+		if !errors.Is(err, recorder.ErrNotSent) {
+			t.Errorf("error %v, want ErrNotSent", err)
+		}
+		down = false
+		time.Sleep(time.Minute)
+		if _, ok := s.Claims[reducer.ClaimKey("a", "second")]; ok {
+			t.Error("a withdrawn proposal was recorded")
+		}
+		if len(s.Claims) != 1 {
+			t.Errorf("%d claims, want 1", len(s.Claims))
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
