Submit a file's jobs together, look at all attempts twice a second

Change: 32 submissions under way at once share appends; the full look over all attempts is every 500 ms and idle passes every 2 s, news are acted on at once.

--- a/cmd/daisyhead/jobs.go
+++ b/cmd/daisyhead/jobs.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
+	"daisyhead/internal/entry/caller"
 	"daisyhead/internal/entry/parser"
 	"daisyhead/internal/entry/presenter"
 	"daisyhead/internal/entry/specifier"
@@ -35,20 +37,39 @@
 	if err != nil {
 		return err
 	}
-	var submitted []presenter.Job
-	for _, j := range jobs {
-		job, err := cl.SubmitJob(context.Background(), j)
-		if err != nil {
-			return errors.CombineErrors(errors.Wrapf(err, "job %q, after %d submitted", j.Name, len(submitted)), printJobs(submitted))
-		}
-		submitted = append(submitted, job)
-	}
-	if err := printJobs(submitted); err != nil {
-		return err
+	submitted, err := submitJobs(cl, jobs)
+	if perr := printJobs(submitted); err != nil || perr != nil {
+		return errors.CombineErrors(err, perr)
 	}
 	return judgeJobs(submitted, false)
 }
 
+// submitAtOnce is how many submissions are under way at once; those that reach
+// an instance together share an append.
+const submitAtOnce = 32
+
+// submitJobs returns the jobs that were submitted, in the order of the file,
+// and the first error.
+func submitJobs(cl *caller.Client, jobs []specifier.Job) (submitted []presenter.Job, err error) {
+	results := make([]presenter.Job, len(jobs))
+	var g errgroup.Group
+	g.SetLimit(submitAtOnce)
+	for i, j := range jobs {
+		g.Go(func() error {
+			job, err := cl.SubmitJob(context.Background(), j)
+			results[i] = job
+			return errors.Wrapf(err, "job %q", j.Name)
+		})
+	}
+	err = g.Wait()
+	for _, job := range results {
+		if job.ID != "" {
+			submitted = append(submitted, job)
+		}
+	}
+	return submitted, err
+}
+
 func readJobs(file string) ([]specifier.Job, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/internal/control/decider/attempts.go
+++ b/internal/control/decider/attempts.go
@@ -17,6 +17,10 @@
 	starting map[string]int64
 }
 
+// reconcileMS is the interval at which all attempts are looked at; news of a
+// worker or of the ledger are acted on at once.
+const reconcileMS = 500
+
 // resendMS is how long a start or a stop may stay unanswered before it is sent again.
 const resendMS = 1500
 
@@ -37,6 +41,7 @@
 	if !m.mayDecide() {
 		return
 	}
+	m.lastReconcileMS = m.at.MonoMS
 	m.expirePending()
 	for _, j := range m.state.LiveJobs() {
 		m.reconcile(j)
--- a/internal/control/decider/model.go
+++ b/internal/control/decider/model.go
@@ -78,6 +78,8 @@
 	suspects    map[string]int64
 	holderSince int64
 	lastRenewMS int64
+	// lastReconcileMS is when all attempts were last held against their workers.
+	lastReconcileMS int64
 	// holderSeenMS is when the ledger last showed that the holder lives.
 	holderSeenMS int64
 	workersRev   uint64
@@ -159,7 +161,10 @@
 	m.changeMembers()
 	m.renewTerm()
 	m.watchWorkers()
-	m.reconcileAll()
+	m.expirePending()
+	if m.at.MonoMS-m.lastReconcileMS >= reconcileMS {
+		m.reconcileAll()
+	}
 	m.plan()
 	m.writeSnapshot()
 }
--- a/internal/control/decider/planning.go
+++ b/internal/control/decider/planning.go
@@ -7,7 +7,7 @@
 )
 
 // idlePlanMS is the interval of decision passes when nothing has changed.
-const idlePlanMS = 1000
+const idlePlanMS = 2000
 
 // settleMS is how long a new holder listens to the workers before it decides.
 const settleMS = 300
