Keep a minion's slot until it has answered, refuse what can't be answered in time

Change: a try outlives its caller and keeps its slot until the minion has answered; a late answer to a claimed request is recorded and given to whoever repeats the key; a waiting request whose time is shorter than the minion's pace is refused; buffers are reused.

--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -115,7 +115,11 @@
 
 type waiter struct {
 	request Request
-	ready   chan *Lease
+	// deadline is when the request's caller gives up; zero if never.
+	deadline time.Time
+	ready    chan *Lease
+	// late is closed when the request is refused because its time is too short.
+	late chan struct{}
 }
 
 type service struct {
@@ -301,6 +305,8 @@
 	}
 	select {
 	case lease = <-w.ready:
+	case <-w.late:
+		return nil, ErrTooLate
 	case <-ctx.Done():
 		l.withdraw(w)
 		// A slot may have been handed over at the last moment.
@@ -329,7 +335,8 @@
 			return nil, l.lease(m), nil
 		}
 	}
-	w := &waiter{request: r, ready: make(chan *Lease, 1)}
+	deadline, _ := ctx.Deadline()
+	w := &waiter{request: r, deadline: deadline, ready: make(chan *Lease, 1), late: make(chan struct{})}
 	s.waiting[r.Class] = append(s.waiting[r.Class], w)
 	return w, nil, nil
 }
@@ -486,12 +493,25 @@
 		if m == nil {
 			return
 		}
-		s.turns++
 		s.waiting[c] = s.waiting[c][1:]
+		if w.tooLate(m) {
+			close(w.late)
+			continue
+		}
+		s.turns++
 		w.ready <- l.lease(m)
 	}
 }
 
+// tooLate reports whether the minion, at its usual pace, would answer only
+// after the caller has given up.
+func (w *waiter) tooLate(m *minion) bool {
+	if w.deadline.IsZero() {
+		return false
+	}
+	return time.Until(w.deadline) < time.Duration(m.meanMS*float64(time.Millisecond))
+}
+
 // nextClass returns the highest class that waits, and in turn the lowest.
 func (s *service) nextClass() Class {
 	first, last := classCount, Class(0)
--- a/internal/traffic/router/exchange.go
+++ b/internal/traffic/router/exchange.go
@@ -36,6 +36,10 @@
 	tried      []string
 	answered   bool
 	broken     bool
+	// late, if set, takes an answer that came after the caller had given up.
+	late func(reply)
+	// cutShort is set when the minion may still be busy with a broken answer.
+	cutShort bool
 }
 
 func (x *exchange) serve() {
@@ -119,14 +123,32 @@
 		x.answerStanding(standing, err)
 		return
 	}
+	x.late = func(r reply) { x.router.Claimer.End(request, lateEnding(r)) }
 	keep := &kept{}
 	res := x.send(ctx, lease, x.router.Once, keep)
-	x.router.Claimer.End(request, res.ending(keep))
+	if !res.abandoned {
+		x.router.Claimer.End(request, res.ending(keep))
+	}
 	if !res.done {
 		x.failSend(ctx, res.err, res.outcome)
 	}
 }
 
+// lateEnding is the outcome of a claimed request whose caller no longer waits.
+func lateEnding(r reply) claimer.Ending {
+	if r.err != nil {
+		return claimer.Ending{Outcome: encoder.OutcomeUnknown, Reason: r.err.Error()}
+	}
+	keep := &kept{}
+	body, err := io.ReadAll(io.LimitReader(r.resp.Body, reducer.MaxAnswerBytes+1))
+	keep.write(body)
+	if err != nil {
+		keep.cut()
+	}
+	res := sendResult{outcome: encoder.OutcomeRan, status: r.resp.StatusCode, contentType: r.resp.Header.Get("Content-Type")}
+	return res.ending(keep)
+}
+
 func (r sendResult) ending(k *kept) claimer.Ending {
 	e := claimer.Ending{Outcome: r.outcome, Status: r.status, Type: r.contentType, Body: k.data, Truncated: k.truncated}
 	if r.err != nil {
@@ -197,46 +219,102 @@
 // sendResult tells what came of one try.
 type sendResult struct {
 	// done is set once an answer, whole or cut, has gone to the caller.
-	done        bool
+	done bool
+	// abandoned is set when the caller's time ran out before the minion answered.
+	abandoned   bool
 	outcome     encoder.Outcome
 	status      int
 	contentType string
 	err         error
 }
 
+// reply is the answer to a try, or its error.
+type reply struct {
+	resp *http.Response
+	err  error
+}
+
 // send makes one try. Nothing has run for certain only if no byte of the
 // request can have left.
 func (x *exchange) send(ctx context.Context, lease *limiter.Lease, transport http.RoundTripper, keep *kept) (res sendResult) {
 	x.access.Tries++
 	x.access.Minion = lease.Target.Name
-	verdict := limiter.Failure
-	defer func() { lease.Release(verdict) }()
-
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out, err := x.outgoing(httptrace.WithClientTrace(ctx, trace), lease)
+	// The minion's slot is busy until it has answered, whether or not the caller
+	// still waits, so the try outlives the caller.
+	up, cancel := context.WithTimeout(httptrace.WithClientTrace(context.WithoutCancel(ctx), trace), MaxTimeout)
+	out, err := x.outgoing(up, lease)
 	if err != nil {
+		cancel()
+		lease.Release(limiter.NoJudgement)
 		return sendResult{outcome: encoder.OutcomeNotRun, err: err}
 	}
-	resp, err := transport.RoundTrip(out)
-	if err != nil {
-		if x.req.Context().Err() != nil {
-			verdict = limiter.NoJudgement
-		}
-		res = sendResult{outcome: encoder.OutcomeUnknown, err: err}
-		if !connected.Load() {
-			res.outcome = encoder.OutcomeNotRun
+	answer := make(chan reply, 1)
+	go func() {
+		resp, err := transport.RoundTrip(out)
+		answer <- reply{resp, err}
+	}()
+	select {
+	case r := <-answer:
+		defer cancel()
+		return x.finishTry(ctx, lease, r, connected.Load(), cancel, keep)
+	case <-ctx.Done():
+		go abandon(lease, answer, cancel, x.late)
+		return sendResult{outcome: encoder.OutcomeUnknown, abandoned: true, err: ctx.Err()}
+	}
+}
+
+// AbandonTime is how long a minion's slot is kept for an answer that nobody
+// waits for any more.
+const AbandonTime = time.Minute
+
+// lingerTime is how long a slot is kept after an answer was broken off, while
+// the minion notices.
+const lingerTime = 500 * time.Millisecond
+
+// abandon gives the slot back once the minion has answered.
+func abandon(lease *limiter.Lease, answer <-chan reply, cancel context.CancelFunc, late func(reply)) {
+	defer cancel()
+	timeout := time.AfterFunc(AbandonTime, cancel)
+	defer timeout.Stop()
+	r := <-answer
+	if late != nil {
+		late(r)
+	}
+	if r.err == nil {
+		_, _ = io.Copy(io.Discard, r.resp.Body)
+		_ = r.resp.Body.Close()
+	}
+	lease.Release(limiter.NoJudgement)
+}
+
+func (x *exchange) finishTry(ctx context.Context, lease *limiter.Lease, r reply, connected bool, cancel context.CancelFunc, keep *kept) sendResult {
+	if r.err != nil {
+		lease.Release(limiter.Failure)
+		if !connected {
+			return sendResult{outcome: encoder.OutcomeNotRun, err: r.err}
 		}
-		return res
+		return sendResult{outcome: encoder.OutcomeUnknown, err: r.err}
 	}
-	defer resp.Body.Close()
-	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != x.call.RequestID {
+	defer r.resp.Body.Close()
+	if echo := r.resp.Header.Get(HeaderRequestID); echo != "" && echo != x.call.RequestID {
+		lease.Release(limiter.Failure)
 		return sendResult{outcome: encoder.OutcomeUnknown, err: errors.Newf("the minion answered request %q", echo)}
 	}
-	if resp.StatusCode < http.StatusInternalServerError {
+	stop := context.AfterFunc(ctx, cancel)
+	defer stop()
+	verdict := limiter.Failure
+	if r.resp.StatusCode < http.StatusInternalServerError {
 		verdict = limiter.Success
 	}
-	return x.relay(resp, keep, &verdict)
+	res := x.relay(r.resp, keep, &verdict)
+	if x.cutShort {
+		time.AfterFunc(lingerTime, func() { lease.Release(verdict) })
+		return res
+	}
+	lease.Release(verdict)
+	return res
 }
 
 func (x *exchange) outgoing(ctx context.Context, lease *limiter.Lease) (*http.Request, error) {
@@ -281,9 +359,11 @@
 		if x.req.Context().Err() != nil {
 			*verdict = limiter.NoJudgement
 		}
+		x.cutShort = true
 		x.broken, x.access.Error = true, "the minion's answer was cut: "+readErr.Error()
 		keep.cut()
 	case writeErr != nil:
+		x.cutShort = true
 		x.access.Error = "the caller went away: " + writeErr.Error()
 		keep.cut()
 	default:
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -13,6 +13,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -190,10 +191,18 @@
 	return d, nil
 }
 
+// buffers are reused between answers.
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBytes)
+	return &b
+}}
+
 // copyBody streams until the end or the first error, flushing as it goes.
 func copyBody(w http.ResponseWriter, body io.Reader, keep *kept) (n int64, readErr, writeErr error) {
 	flusher, _ := w.(http.Flusher)
-	buffer := make([]byte, copyBytes)
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := *pooled
 	for {
 		read, err := body.Read(buffer)
 		if read > 0 {
--- a/internal/traffic/router/router_test.go
+++ b/internal/traffic/router/router_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,8 @@
 	script   []string
 	received int
 	listener net.Listener
+	// release lets slow answers go.
+	release chan struct{}
 }
 
 func newMinions(t *testing.T, script ...string) *minions {
@@ -39,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &minions{script: script, listener: l}
+	m := &minions{script: script, listener: l, release: make(chan struct{})}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -81,6 +84,9 @@
 		switch step {
 		case "reset":
 			return
+		case "slow":
+			<-m.release
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
 		case "cut":
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
 			return
@@ -274,3 +280,44 @@
 		})
 	}
 }
+
+// TestLateAnswer lets the caller give up before the minion answers: the slot
+// stays taken meanwhile, and a repeat of the key gets the late answer.
+func TestLateAnswer(t *testing.T) {
+	m := newMinions(t, "slow")
+	r := newRouter(m.listener.Addr().String())
+	l := limiter.New("a", limiter.Config{Fresh: time.Hour, Start: time.Now()})
+	l.Update(&decider.View{Revision: 1, Epoch: 1, Members: []string{"a"}, CaughtUp: true, Services: map[string][]decider.Target{
+		"s": {{Name: "m", Address: m.listener.Addr().String(), Slots: 1, Connections: 64}},
+	}})
+	r.Limiter = l
+	call := func(timeout string) reply {
+		req := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body"))
+		req.Header.Set(router.HeaderIdempotent, "false")
+		req.Header.Set(router.HeaderKey, "k")
+		req.Header.Set(router.HeaderTimeout, timeout)
+		w := httptest.NewRecorder()
+		r.Serve(w, req, router.Call{RequestID: "id-1", Workspace: "a", Service: "s", Path: "/"})
+		return reply{Status: w.Code, Outcome: encoder.Outcome(w.Header().Get(router.HeaderOutcome)), Replayed: w.Header().Get(router.HeaderReplayed) != ""}
+	}
+	if diff := cmp.Diff(reply{Status: 504, Outcome: encoder.OutcomeUnknown}, call("50ms")); diff != "" {
+		t.Errorf("first reply differs (-want +got):\n%s", diff)
+	}
+	if used := l.Used(); len(used) != 1 {
+		t.Errorf("slots in use %v, want the abandoned one", used)
+	}
+	close(m.release)
+	var got reply
+	for range 200 {
+		if got = call("50ms"); got.Replayed {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if diff := cmp.Diff(reply{Status: 200, Outcome: encoder.OutcomeRan, Replayed: true}, got); diff != "" {
+		t.Errorf("later reply differs (-want +got):\n%s", diff)
+	}
+	if n := m.count(); n != 1 {
+		t.Errorf("the minion received %d requests, want 1", n)
+	}
+}
