--- a/internal/control/decider/harness_test.go
+++ b/internal/control/decider/harness_test.go
@@ -19,6 +19,7 @@
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/recorder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 	"daisyhead/internal/ledger/snapshotter"
 	peerencoder "daisyhead/internal/peer/encoder"
 	"daisyhead/internal/platform/appender"
@@ -283,7 +284,7 @@
 		msg := decider.ConfigReadMsg{}
 		for _, r := range page.Records {
 			received := encoder.TicketReceived{ConfigOffset: r.Offset}
-			if err := encoder.Unmarshal(r.Data, &received.Ticket); err != nil {
+			if err := serializer.Unmarshal(r.Data, &received.Ticket); err != nil {
 				received.Fault = err.Error()
 			}
 			msg.Tickets = append(msg.Tickets, received)
@@ -423,7 +424,7 @@
 }
 
 func (b *bench) publish(t specifier.Ticket) {
-	data, err := encoder.Marshal(t)
+	data, err := serializer.Marshal(t)
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/internal/control/decider/planning.go
+++ b/internal/control/decider/planning.go
@@ -4,6 +4,7 @@
 	"daisyhead/internal/control/planner"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 )
 
 // idlePlanMS is the interval of decision passes when nothing has changed.
@@ -74,7 +75,7 @@
 	if records < m.cfg.SnapshotRecords && (age < m.cfg.SnapshotMS || records == 0) {
 		return
 	}
-	data, err := encoder.Marshal(m.state)
+	data, err := serializer.Marshal(m.state)
 	if err != nil {
 		m.emit(AlarmCmd{Name: "SnapshotFailed", Detail: err.Error()})
 		return
--- a/internal/control/decider/schedule_test.go
+++ b/internal/control/decider/schedule_test.go
@@ -10,6 +10,7 @@
 	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 	"daisyhead/internal/standin/logkeeper"
 	"daisyhead/internal/standin/observer"
 	"daisyhead/internal/standin/taskrunner"
@@ -205,10 +206,10 @@
 	var held []byte
 	var next uint64
 	i.inspect(func(state *reducer.State) {
-		held, err = encoder.Marshal(state)
+		held, err = serializer.Marshal(state)
 		next = state.Next
 	})
-	again, errAgain := encoder.Marshal(fresh)
+	again, errAgain := serializer.Marshal(fresh)
 	if err != nil || errAgain != nil {
 		s.t.Fatal(err, errAgain)
 	}
--- a/internal/control/planner/decide_test.go
+++ b/internal/control/planner/decide_test.go
@@ -8,8 +8,8 @@
 
 	"daisyhead/internal/control/planner"
 	"daisyhead/internal/entry/specifier"
-	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 )
 
 // letterState returns a state at a multiple of the letter's size: workers,
@@ -68,7 +68,7 @@
 
 // stateMB returns the heap that a copy of the state takes.
 func stateMB(s *reducer.State) float64 {
-	data, err := encoder.Marshal(s)
+	data, err := serializer.Marshal(s)
 	if err != nil {
 		return 0
 	}
@@ -77,7 +77,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	copied := reducer.New()
-	if err := encoder.Unmarshal(data, copied); err != nil {
+	if err := serializer.Unmarshal(data, copied); err != nil {
 		return 0
 	}
 	runtime.GC()
--- a/internal/ledger/encoder/encoder.go
+++ b/internal/ledger/encoder/encoder.go
@@ -15,7 +15,8 @@
 
 import (
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
+
+	"daisyhead/internal/ledger/serializer"
 )
 
 // Version is written into each batch. Readers take every version up to it.
@@ -30,33 +31,6 @@
 	ErrNewer   = errors.New("record of a newer version")
 )
 
-var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	options := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxNestedLevels:  32,
-		MaxArrayElements: 1 << 20,
-		MaxMapPairs:      1 << 20,
-	}
-	mode, err := options.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns the binary form of b with the current version.
 func Encode(b Batch) (data []byte, err error) {
 	defer func() {
@@ -65,7 +39,7 @@
 		}
 	}()
 	b.Version = Version
-	data, err = encMode.Marshal(b)
+	data, err = serializer.Marshal(b)
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +54,7 @@
 	if len(data) > MaxRecordBytes {
 		return Batch{}, errors.Wrapf(ErrCorrupt, "%d bytes", len(data))
 	}
-	if err := decMode.Unmarshal(data, &b); err != nil {
+	if err := serializer.Unmarshal(data, &b); err != nil {
 		return Batch{}, errors.Mark(errors.Wrap(err, "decode batch"), ErrCorrupt)
 	}
 	if b.Version > Version {
@@ -91,9 +65,3 @@
 	}
 	return b, nil
 }
-
-// Marshal encodes any value in the same deterministic form.
-func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
-
-// Unmarshal decodes what Marshal wrote.
-func Unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
--- a/internal/ledger/encoder/encoder_test.go
+++ b/internal/ledger/encoder/encoder_test.go
@@ -8,6 +8,7 @@
 
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 )
 
 func batch() encoder.Batch {
@@ -32,7 +33,7 @@
 }
 
 func TestUnreadableRecords(t *testing.T) {
-	newer, err := encoder.Marshal(encoder.Batch{Version: encoder.Version + 1, Writer: "i1/a"})
+	newer, err := serializer.Marshal(encoder.Batch{Version: encoder.Version + 1, Writer: "i1/a"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ledger/reducer/bench_test.go
+++ b/internal/ledger/reducer/bench_test.go
@@ -7,6 +7,7 @@
 	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 )
 
 // sizes are the multiples at which slopes are measured.
@@ -65,12 +66,12 @@
 			st := runningJobs(100 * k)
 			size := 0
 			for b.Loop() {
-				data, err := encoder.Marshal(st.s)
+				data, err := serializer.Marshal(st.s)
 				if err != nil {
 					b.Fatal(err)
 				}
 				size = len(data)
-				if err := encoder.Unmarshal(data, reducer.New()); err != nil {
+				if err := serializer.Unmarshal(data, reducer.New()); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/ledger/reducer/reducer_test.go
+++ b/internal/ledger/reducer/reducer_test.go
@@ -10,6 +10,7 @@
 	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 )
 
 const holder = "i1/a"
@@ -259,7 +260,7 @@
 			j.Events[i].Offset = 0
 		}
 	}
-	data, err := encoder.Marshal(s)
+	data, err := serializer.Marshal(s)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ledger/reducer/tickets.go
+++ b/internal/ledger/reducer/tickets.go
@@ -10,11 +10,12 @@
 
 	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/serializer"
 )
 
 // TicketDigest identifies a ticket's content.
 func TicketDigest(t specifier.Ticket) string {
-	data, err := encoder.Marshal(t)
+	data, err := serializer.Marshal(t)
 	if err != nil {
 		return ""
 	}
--- a/internal/ledger/snapshotter/snapshotter.go
+++ b/internal/ledger/snapshotter/snapshotter.go
@@ -15,6 +15,7 @@
 
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 	"daisyhead/internal/platform/appender"
 )
 
@@ -69,7 +70,7 @@
 }
 
 func appendChunk(ctx context.Context, log Log, c Chunk) error {
-	record, err := encoder.Marshal(c)
+	record, err := serializer.Marshal(c)
 	if err != nil {
 		return err
 	}
@@ -122,7 +123,7 @@
 
 func (c *collector) add(record []byte) {
 	var chunk Chunk
-	if encoder.Unmarshal(record, &chunk) != nil || chunk.Version < 1 || chunk.Version > encoder.Version {
+	if serializer.Unmarshal(record, &chunk) != nil || chunk.Version < 1 || chunk.Version > encoder.Version {
 		return
 	}
 	if chunk.Count < 1 || chunk.Count > MaxChunks || chunk.Index < 0 || chunk.Index >= chunk.Count {
@@ -163,7 +164,7 @@
 		return nil, errors.New("the checksum does not match")
 	}
 	state := reducer.New()
-	if err := encoder.Unmarshal(data, state); err != nil {
+	if err := serializer.Unmarshal(data, state); err != nil {
 		return nil, err
 	}
 	return state, nil
--- a/internal/peer/encoder/encoder.go
+++ b/internal/peer/encoder/encoder.go
@@ -9,7 +9,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
+
+	"daisyhead/internal/ledger/serializer"
 )
 
 // Version is the newest version of the protocol that this build speaks.
@@ -63,31 +64,10 @@
 	Size int
 }
 
-var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxNestedLevels: 8, MaxArrayElements: 4096, MaxMapPairs: 16384}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns the binary form of m.
 func Encode(m Message) (data []byte, err error) {
 	m.Version = Version
-	data, err = encMode.Marshal(m)
+	data, err = serializer.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode message")
 	}
@@ -102,7 +82,7 @@
 	if len(data) > MaxMessageBytes {
 		return Message{}, errors.Wrapf(ErrMalformed, "%d bytes", len(data))
 	}
-	if err := decMode.Unmarshal(data, &m); err != nil {
+	if err := serializer.Unmarshal(data, &m); err != nil {
 		return Message{}, errors.Mark(errors.Wrap(err, "decode message"), ErrMalformed)
 	}
 	if m.Version < 1 {
--- a/internal/product/assembler/platform.go
+++ b/internal/product/assembler/platform.go
@@ -12,6 +12,7 @@
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/recorder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
 	"daisyhead/internal/ledger/snapshotter"
 	peerencoder "daisyhead/internal/peer/encoder"
 	"daisyhead/internal/peer/messenger"
@@ -227,7 +228,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
 	ierr := h.instance.Inspect(ctx, func(s *reducer.State, _ decider.Liaison) {
-		data, err = encoder.Marshal(s)
+		data, err = serializer.Marshal(s)
 		next = s.Next
 	})
 	if ierr != nil {
--- a/internal/traffic/limiter/limiter.go
+++ b/internal/traffic/limiter/limiter.go
@@ -12,14 +12,11 @@
 package limiter
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"daisyhead/internal/control/decider"
@@ -113,15 +110,6 @@
 	meanMS float64
 }
 
-type waiter struct {
-	request Request
-	// deadline is when the request's caller gives up; zero if never.
-	deadline time.Time
-	ready    chan *Lease
-	// late is closed when the request is refused because its time is too short.
-	late chan struct{}
-}
-
 type service struct {
 	minions []*minion
 	waiting [classCount][]*waiter
@@ -226,77 +214,6 @@
 	l.minions = kept
 }
 
-// share computes how many slots of each minion this instance may use now.
-func (l *Limiter) share() {
-	settled := l.settled()
-	for _, s := range l.services {
-		for _, m := range s.minions {
-			m.allowed = Share(m.target, l.view.Members, l.name)
-			if !settled {
-				m.allowed = min(m.allowed, Share(m.target, l.oldMembers, l.name))
-			}
-			m.allowed = min(m.allowed, m.target.Slots-l.othersOver(m.target))
-		}
-	}
-}
-
-// othersOver returns how many slots the others use or may use. A member that
-// still has requests in flight beyond its new share keeps them.
-func (l *Limiter) othersOver(t decider.Target) int {
-	total := 0
-	for _, name := range l.view.Members {
-		if name != l.name {
-			total += max(Share(t, l.view.Members, name), l.view.Peers[name].SlotsUsed[t.Address])
-		}
-	}
-	for name, p := range l.view.Peers {
-		if name != l.name && !slices.Contains(l.view.Members, name) {
-			total += p.SlotsUsed[t.Address]
-		}
-	}
-	return total
-}
-
-// settled reports whether every other member has taken over the epoch.
-func (l *Limiter) settled() bool {
-	if time.Since(l.epochSince) >= l.cfg.SettleTime {
-		return true
-	}
-	for _, name := range append(slices.Clone(l.view.Members), l.oldMembers...) {
-		if p := l.view.Peers[name]; name != l.name && p.Epoch < l.view.Epoch {
-			return false
-		}
-	}
-	return true
-}
-
-// Share returns how many of the target's slots a member may use. The shares of
-// all members add up to the slots.
-func Share(t decider.Target, members []string, name string) int {
-	if !slices.Contains(members, name) {
-		return 0
-	}
-	n := len(members)
-	share, rest := t.Slots/n, t.Slots%n
-	if rest == 0 {
-		return share
-	}
-	own, rank := shareOrder(t, name), 0
-	for _, other := range members {
-		if o := shareOrder(t, other); o < own || (o == own && other < name) {
-			rank++
-		}
-	}
-	if rank < rest {
-		share++
-	}
-	return share
-}
-
-func shareOrder(t decider.Target, name string) uint64 {
-	return xxhash.Sum64String(t.Address + "\x00" + name)
-}
-
 // Acquire waits for a slot until the context ends.
 func (l *Limiter) Acquire(ctx context.Context, r Request) (lease *Lease, err error) {
 	w, lease, err := l.enqueue(ctx, r)
@@ -322,48 +239,6 @@
 	return lease, nil
 }
 
-// enqueue returns a lease at once, an error at once, or a waiter.
-func (l *Limiter) enqueue(ctx context.Context, r Request) (*waiter, *Lease, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s, err := l.admit(ctx, r)
-	if err != nil {
-		return nil, nil, err
-	}
-	if s.idle() {
-		if m := l.pick(s, r); m != nil {
-			return nil, l.lease(m), nil
-		}
-	}
-	deadline, _ := ctx.Deadline()
-	w := &waiter{request: r, deadline: deadline, ready: make(chan *Lease, 1), late: make(chan struct{})}
-	s.waiting[r.Class] = append(s.waiting[r.Class], w)
-	return w, nil, nil
-}
-
-func (l *Limiter) admit(ctx context.Context, r Request) (*service, error) {
-	if l.closing {
-		return nil, ErrClosing
-	}
-	if !l.fresh() {
-		return nil, ErrStale
-	}
-	s, ok := l.services[r.Service]
-	if _, known := l.view.Services[r.Service]; !ok || !known {
-		return nil, ErrNoService
-	}
-	if !slices.ContainsFunc(s.minions, func(m *minion) bool { return !slices.Contains(r.Exclude, m.target.Address) }) {
-		return nil, ErrNoMinion
-	}
-	if len(s.waiting[r.Class]) >= MaxWaiting {
-		return nil, ErrOverloaded
-	}
-	if deadline, ok := ctx.Deadline(); ok && time.Now().Add(s.expectedWait(r.Class)).After(deadline) {
-		return nil, ErrOverloaded
-	}
-	return s, nil
-}
-
 // fresh reports whether the view is recent enough, or cannot have changed
 // because nobody can read the ledger.
 func (l *Limiter) fresh() bool {
@@ -371,84 +246,6 @@
 	return l.view.CaughtUp && (age <= l.cfg.Fresh || l.view.OutageAgreed)
 }
 
-func (s *service) idle() bool {
-	for c := range s.waiting {
-		if len(s.waiting[c]) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// expectedWait estimates the time until a request of the class gets a slot.
-func (s *service) expectedWait(c Class) time.Duration {
-	ahead := 0
-	for i := range c + 1 {
-		ahead += len(s.waiting[i])
-	}
-	slots, mean := 0, 0.0
-	for _, m := range s.minions {
-		slots += max(m.allowed, 0)
-		mean += m.meanMS * float64(max(m.allowed, 0))
-	}
-	if slots == 0 || ahead == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) * mean / float64(slots) / float64(slots) * float64(time.Millisecond))
-}
-
-// pick chooses a minion with a free slot: near ones first, the less loaded of
-// two that are drawn.
-func (l *Limiter) pick(s *service, r Request) *minion {
-	var near, far []*minion
-	open := l.openMinions(s)
-	for _, m := range open {
-		if m.used >= m.allowed || slices.Contains(r.Exclude, m.target.Address) {
-			continue
-		}
-		if m.target.Domain == l.cfg.Domain {
-			near = append(near, m)
-		} else {
-			far = append(far, m)
-		}
-	}
-	if len(near) > 0 {
-		return lessLoaded(near)
-	}
-	return lessLoaded(far)
-}
-
-// openMinions leaves out ejected minions, but never more than their share.
-func (l *Limiter) openMinions(s *service) []*minion {
-	var open, ejected []*minion
-	for _, m := range s.minions {
-		if time.Now().Before(m.ejected) {
-			ejected = append(ejected, m)
-		} else {
-			open = append(open, m)
-		}
-	}
-	if len(ejected)*ejectShare > len(s.minions) {
-		return s.minions
-	}
-	return open
-}
-
-func lessLoaded(list []*minion) *minion {
-	if len(list) == 0 {
-		return nil
-	}
-	a, b := list[rand.IntN(len(list))], list[rand.IntN(len(list))]
-	if cmp.Compare(b.load(), a.load()) < 0 {
-		return b
-	}
-	return a
-}
-
-func (m *minion) load() float64 {
-	return (float64(m.used) + 1) / float64(max(m.allowed, 1)) * (m.meanMS + 1)
-}
-
 func (l *Limiter) lease(m *minion) *Lease {
 	m.used++
 	return &Lease{Target: m.target, limiter: l, minion: m, since: time.Now()}
@@ -480,57 +277,3 @@
 		}
 	}
 }
-
-// serve hands free slots to waiting requests.
-func (l *Limiter) serve(s *service) {
-	if !l.fresh() {
-		return
-	}
-	for !s.idle() {
-		c := s.nextClass()
-		w := s.waiting[c][0]
-		m := l.pick(s, w.request)
-		if m == nil {
-			return
-		}
-		s.waiting[c] = s.waiting[c][1:]
-		if w.tooLate(m) {
-			close(w.late)
-			continue
-		}
-		s.turns++
-		w.ready <- l.lease(m)
-	}
-}
-
-// tooLate reports whether the minion, at its usual pace, would answer only
-// after the caller has given up.
-func (w *waiter) tooLate(m *minion) bool {
-	if w.deadline.IsZero() {
-		return false
-	}
-	return time.Until(w.deadline) < time.Duration(m.meanMS*float64(time.Millisecond))
-}
-
-// nextClass returns the highest class that waits, and in turn the lowest.
-func (s *service) nextClass() Class {
-	first, last := classCount, Class(0)
-	for c := range classCount {
-		if len(s.waiting[c]) > 0 {
-			first, last = min(first, c), c
-		}
-	}
-	if s.turns%lowTurn == lowTurn-1 {
-		return last
-	}
-	return first
-}
-
-func (l *Limiter) withdraw(w *waiter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, s := range l.services {
-		queue := &s.waiting[w.request.Class]
-		*queue = slices.DeleteFunc(*queue, func(o *waiter) bool { return o == w })
-	}
-}
