Keep guaranteed shapes where a reclaim would lose the least work

Cause: a table of single passes: a claim stopped the borrower that had run for a minute and not the one that had run for a second; the packing ignored what it would cost. Change: shapes that find no free workers are packed densely, by the work that a reclaim of each rack would lose.

--- a/internal/control/placer/pack.go
+++ b/internal/control/placer/pack.go
@@ -25,6 +25,9 @@
 // falls back to dense packing when spreading leaves more of them unplaced.
 func (f *Fleet) Pack(free Free, shapes []Shape, o Options) Packing {
 	order := packingOrder(shapes)
+	if o.Dense {
+		return f.packDense(free.Clone(), shapes, order, o)
+	}
 	spread := f.packSpread(free.Clone(), shapes, order, o)
 	if spread.Unplaced == 0 {
 		return spread
--- a/internal/control/placer/place.go
+++ b/internal/control/placer/place.go
@@ -24,6 +24,8 @@
 	// RackWeights replaces the rule that the fullest rack goes first: among
 	// equal workers, the one with the least weight is taken. Weights are below 1024.
 	RackWeights []int
+	// Dense packs shapes without spreading them over failure domains.
+	Dense bool
 	// Domain restricts the search to one failure domain.
 	Domain string
 }
--- a/internal/control/planner/guarantees.go
+++ b/internal/control/planner/guarantees.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"slices"
 
 	"daisyhead/internal/control/placer"
@@ -137,11 +138,38 @@
 			open = append(open, s)
 		}
 	}
-	open = p.packOn(hard, p.freeSoon().Floor(hard), open, p.doubtful)
-	open = p.packOn(hard, hard.Clone(), open, p.doubtful)
+	open = p.packOn(hard, p.freeSoon().Floor(hard), open, placer.Options{Closed: p.doubtful})
+	if len(open) == 0 {
+		return
+	}
+	// On borrowed workers, the shapes stand where the least work would be lost.
+	losses := p.weighLosses()
+	open = p.packOn(hard, hard.Clone(), open, placer.Options{Closed: p.doubtful, Dense: true, RackWeights: losses})
 	if p.anyDoubt {
-		p.packOn(hard, hard.Clone(), open, p.closed)
+		p.packOn(hard, hard.Clone(), open, placer.Options{Closed: p.closed, Dense: true, RackWeights: losses})
+	}
+}
+
+// lossStep is the weight of a doubling of the work that a reclaim would lose.
+const lossStep = 16
+
+// weighLosses returns for each node how much work a reclaim of its rack would
+// lose, on a logarithmic scale.
+func (p *pass) weighLosses() []int {
+	rackLoss := make(map[string]int64, len(p.fleet.Nodes))
+	for _, a := range p.actives {
+		if !a.reclaimable || a.stopping {
+			continue
+		}
+		for _, pl := range a.places {
+			rackLoss[p.fleet.Nodes[pl.Node].Rack] += p.lossOf(a, encoder.StopReclaim)
+		}
+	}
+	weights := make([]int, len(p.fleet.Nodes))
+	for i, n := range p.fleet.Nodes {
+		weights[i] = lossStep * bits.Len64(uint64(max(rackLoss[n.Rack], 0)))
 	}
+	return weights
 }
 
 // freeSoon is what is free once the attempts that are stopping have stopped.
@@ -155,7 +183,7 @@
 	return soon
 }
 
-func (p *pass) packOn(hard, room placer.Free, shapes []*shape, closed []bool) (unplaced []*shape) {
+func (p *pass) packOn(hard, room placer.Free, shapes []*shape, o placer.Options) (unplaced []*shape) {
 	if len(shapes) == 0 {
 		return nil
 	}
@@ -163,7 +191,7 @@
 	for i, s := range shapes {
 		list[i] = s.Shape
 	}
-	packing := p.fleet.Pack(room, list, placer.Options{Closed: closed})
+	packing := p.fleet.Pack(room, list, o)
 	for i, s := range shapes {
 		if packing.Places[i] == nil {
 			unplaced = append(unplaced, s)
