--- a/internal/control/planner/guarantees.go
+++ b/internal/control/planner/guarantees.go
@@ -243,7 +243,7 @@
 		if s.room == nil || !p.covers(s, j) || !s.mayHold(j) {
 			continue
 		}
-		places, ok := p.place(j, s.room)
+		places, ok := p.placeInShape(j, s)
 		if !ok {
 			continue
 		}
@@ -277,6 +277,31 @@
 	})
 }
 
+// placeInShape prefers workers of the shape that are free now. Urgent work also
+// prefers workers whose work can be stopped at once over those where a
+// checkpoint is under way.
+func (p *pass) placeInShape(j *reducer.Job, s *shape) ([]placer.Place, bool) {
+	if places, ok := p.place(j, s.room.Floor(p.free)); ok {
+		return places, true
+	}
+	if !j.Spec.Urgent {
+		return p.place(j, s.room)
+	}
+	quick := s.room.Clone()
+	for _, a := range p.actives {
+		if !a.stopping {
+			continue
+		}
+		for _, pl := range a.places {
+			quick[pl.Node] = placer.Resources{}
+		}
+	}
+	if places, ok := p.place(j, quick); ok {
+		return places, true
+	}
+	return p.place(j, s.room)
+}
+
 // mayHold reports whether the shape's workers have enough accelerators left.
 func (s *shape) mayHold(j *reducer.Job) bool {
 	left, last := 0, -1
