--- a/internal/ledger/recorder/recorder_test.go
+++ b/internal/ledger/recorder/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,6 +93,7 @@
 				}
 				cancel()
 				time.Sleep(time.Minute)
+				synctest.Wait()
 				if len(s.Claims) != test.claims {
 					t.Errorf("%d claims, want %d", len(s.Claims), test.claims)
 				}
@@ -104,9 +106,9 @@
 func TestWithdrawnIsNeverSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		down := true
+		var up atomic.Bool
 		l, s := &log{}, reducer.New()
-		l.fault = func(int) (bool, bool) { return !down, !down }
+		l.fault = func(int) (bool, bool) { return up.Load(), up.Load() }
 		r := recorder.New(recorder.Config{Writer: "i1/a", AppendTimeout: time.Second, AppendsPerSecond: 100, AppendBurst: 10}, l)
 		go r.Run(ctx)
 		go l.follow(ctx, r, s)
@@ -118,15 +120,16 @@
 		if !errors.Is(err, recorder.ErrNotSent) {
 			t.Errorf("error %v, want ErrNotSent", err)
 		}
-		down = false
+		up.Store(true)
 		time.Sleep(time.Minute)
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
 		if _, ok := s.Claims[reducer.ClaimKey("a", "second")]; ok {
 			t.Error("a withdrawn proposal was recorded")
 		}
 		if len(s.Claims) != 1 {
 			t.Errorf("%d claims, want 1", len(s.Claims))
 		}
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
