Hand the term over when the platform marks the instance as leaving

Cause: the platform's list tells of leaving instances, and nothing read that mark. Change: an instance that the list has shown as live and then marks as leaving fails readiness and hands the term over; an older mark of the same name does nothing.

--- a/internal/ledger/encoder/entries.go
+++ b/internal/ledger/encoder/entries.go
@@ -142,7 +142,6 @@
 	StopReclaim StopCause = "Reclaim"
 	StopDrain   StopCause = "Drain"
 	StopPartial StopCause = "Partial"
-	StopOverrun StopCause = "Overrun"
 	// StopUrgent waits for no checkpoint.
 	StopUrgent StopCause = "Urgent"
 )
--- a/internal/product/assembler/adapters.go
+++ b/internal/product/assembler/adapters.go
@@ -21,11 +21,11 @@
 
 // Inspect runs read in the control goroutine.
 func (i *Instance) Inspect(ctx context.Context, read func(*reducer.State, decider.Liaison)) (err error) {
-	if !i.ready.Load() && !i.leave.Load() {
+	if !i.started.Load() {
 		return errNotReady
 	}
 	done := make(chan struct{})
-	if i.loop == nil || !i.loop.Send(decider.InspectMsg{Read: read, Done: done}) {
+	if !i.loop.Send(decider.InspectMsg{Read: read, Done: done}) {
 		return errNotReady
 	}
 	select {
--- a/internal/product/assembler/assembler.go
+++ b/internal/product/assembler/assembler.go
@@ -58,9 +58,11 @@
 	servers   []*http.Server
 	listeners []net.Listener
 
-	view  atomic.Pointer[decider.View]
-	ready atomic.Bool
-	leave atomic.Bool
+	view atomic.Pointer[decider.View]
+	// started is set once the control loop runs.
+	started atomic.Bool
+	ready   atomic.Bool
+	leave   atomic.Bool
 	// drained is set when a leaving instance has answered its last request.
 	drained atomic.Bool
 	work    sync.WaitGroup
@@ -213,7 +215,8 @@
 	i.spawn(func() { i.recorder.Run(run) })
 	i.spawn(func() { i.follower().Run(run, next) })
 	i.spawn(func() { i.relayConfig(run) })
-	i.ready.Store(true)
+	i.started.Store(true)
+	i.ready.Store(!i.leave.Load())
 	return true
 }
 
@@ -243,12 +246,7 @@
 // shutdown lets readiness fail, hands the term over and waits for the work in
 // flight, up to the configured bound.
 func (i *Instance) shutdown(run context.Context) (err error) {
-	i.leave.Store(true)
-	i.ready.Store(false)
-	i.logger.Info("Instance leaving")
-	if i.loop != nil {
-		i.loop.Send(decider.LeaveMsg{})
-	}
+	i.beginLeaving()
 	i.messenger.Announce(run, peerHandler{i})
 	i.awaitHandover(run)
 	time.Sleep(i.settings.Timing.ShutdownDelay.Std())
@@ -270,6 +268,18 @@
 // announceTime lets the last heartbeat reach the peers.
 const announceTime = 50 * time.Millisecond
 
+// beginLeaving fails readiness and stops deciding, once.
+func (i *Instance) beginLeaving() {
+	if !i.leave.CompareAndSwap(false, true) {
+		return
+	}
+	i.ready.Store(false)
+	i.logger.Info("Instance leaving")
+	if i.started.Load() {
+		i.loop.Send(decider.LeaveMsg{})
+	}
+}
+
 // handoverTimeout bounds the wait for another instance to claim the term.
 const handoverTimeout = 3 * time.Second
 
--- a/internal/product/assembler/e2e_test.go
+++ b/internal/product/assembler/e2e_test.go
@@ -42,6 +42,8 @@
 	workers   []string
 	processes map[string]*exec.Cmd
 	api       []string
+	list      string
+	peers     []lister.Instance
 	client    *caller.Client
 }
 
@@ -100,6 +102,7 @@
 
 func (s *site) startInstances() {
 	list, peers := freePort(s.t), []lister.Instance{}
+	s.list = list
 	authority, err := keymaker.NewAuthority("e2e")
 	if err != nil {
 		s.t.Fatal(err)
@@ -109,10 +112,11 @@
 	}
 	args := []string{"members", "--listen", list}
 	for n := 1; n <= 3; n++ {
-		peers = append(peers, lister.Instance{Name: fmt.Sprint("entry-", n), PeerAddress: freePort(s.t)})
+		peers = append(peers, lister.Instance{Name: fmt.Sprint("entry-", n), PeerAddress: freePort(s.t), State: lister.StateLive})
 		args = append(args, "--instance", peers[n-1].Name+"="+peers[n-1].PeerAddress)
 	}
 	s.run("members", "standin", args...)
+	s.peers = peers
 	for _, p := range peers {
 		s.configure(p, list, authority)
 		s.serve(p.Name)
@@ -227,9 +231,14 @@
 	}
 }
 
-func (s *site) setLog(f logkeeper.Faults) {
-	data, _ := json.Marshal(f)
-	resp, err := http.Post("http://"+s.logAddr+"/admin/faults", "application/json", bytes.NewReader(data))
+func (s *site) setLog(f logkeeper.Faults) { s.post("http://"+s.logAddr+"/admin/faults", f) }
+
+func (s *site) post(url string, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.Post(url, "application/json", bytes.NewReader(data))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -255,6 +264,18 @@
 			time.Sleep(15 * time.Second)
 			_ = s.processes[h].Process.Signal(syscall.SIGCONT)
 		}},
+		{"the platform marks the holder as leaving", time.Hour, func(s *site) {
+			h := s.holder("")
+			marked := slices.Clone(s.peers)
+			for n := range marked {
+				if marked[n].Name == h {
+					marked[n].State = lister.StateLeaving
+				}
+			}
+			time.Sleep(3 * time.Second)
+			s.post("http://"+s.list+"/admin/instances", marked)
+			s.await("another holder", 20*time.Second, func() bool { return s.holder(h) != "" })
+		}},
 		{"the log down for longer than every lease", time.Hour, func(s *site) {
 			s.setLog(logkeeper.Faults{Down: true})
 			time.Sleep(15 * time.Second)
--- a/internal/product/assembler/platform.go
+++ b/internal/product/assembler/platform.go
@@ -161,10 +161,12 @@
 // takes no peer away at once.
 func (i *Instance) watchList(ctx context.Context) {
 	known := map[string]knownPeer{}
+	listed := false
 	for ctx.Err() == nil {
 		list, err := i.list.List(ctx)
 		if err == nil {
 			i.learnPeers(known, list)
+			listed = i.followOwnMark(listed, list)
 		}
 		for _, seed := range i.settings.Peers.Seeds {
 			known[seed.Name] = knownPeer{address: seed.Address, seen: time.Now()}
@@ -174,6 +176,24 @@
 	}
 }
 
+// followOwnMark hands the term over and fails readiness when the platform marks
+// this instance as leaving. A mark counts only after the list has shown this
+// process as live: an older one is about an earlier process of the same name.
+func (i *Instance) followOwnMark(listed bool, list lister.List) bool {
+	for _, l := range list.Instances {
+		if l.Name != i.name {
+			continue
+		}
+		if l.State == lister.StateLive {
+			return true
+		}
+		if listed && l.State == lister.StateLeaving {
+			i.beginLeaving()
+		}
+	}
+	return listed
+}
+
 type knownPeer struct {
 	address string
 	seen    time.Time
@@ -218,7 +238,7 @@
 
 // Heard takes a peer's heartbeat.
 func (h peerHandler) Heard(b peerencoder.Heartbeat) {
-	if h.instance.ready.Load() {
+	if h.instance.started.Load() {
 		h.instance.loop.Send(decider.PeerMsg{Heartbeat: b})
 	}
 }
