Let doubt of a worker end, and acquit workers of a job that fails everywhere

Cause: reading the planner: a worker where a job had failed stayed doubted until a job finished there, and work that may run only once never goes to doubted workers; a few bad jobs, three workers each, could bar it from a whole idle fleet. Change: doubt ends 5 minutes after the last failure; a job that fails for good on one worker after the other leaves no mark on them.

--- a/internal/control/decider/attempts.go
+++ b/internal/control/decider/attempts.go
@@ -12,7 +12,7 @@
 type seenAttempt struct {
 	attempt int
 	sinceMS int64
-	// workingMS is when all of the gang was confirmed running.
+	// starting and stopSent tell when the last start or stop went to a worker.
 	stopSent map[string]int64
 	starting map[string]int64
 }
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -29,6 +29,8 @@
 	ReserveAfterMS = 30 * 1000
 	// DefaultRunMS stands in for a run time that nobody declared.
 	DefaultRunMS = 10 * 60 * 1000
+	// DoubtMS is how long a worker is doubted after a job failed there.
+	DoubtMS = 5 * 60 * 1000
 	// DrainMarginMS is left for checkpoints before a domain's last moment.
 	DrainMarginMS = 15 * 1000
 )
@@ -169,7 +171,8 @@
 		if !p.in.Ready[n.Worker] || h.Silent || h.UntilMS > p.in.NowMS {
 			closed[i] = true
 		}
-		doubtful[i] = closed[i] || h.Probation || len(h.FailedJobs) > 0
+		doubted := (h.Probation || len(h.FailedJobs) > 0) && p.in.NowMS-max(h.FailedMS, h.UntilMS) < DoubtMS
+		doubtful[i] = closed[i] || doubted
 		p.anyDoubt = p.anyDoubt || doubtful[i] != closed[i]
 	}
 	return closed, doubtful
--- a/internal/control/planner/planner_test.go
+++ b/internal/control/planner/planner_test.go
@@ -112,6 +112,16 @@
 			}
 			d.end(id, a.number, encoder.ResultFailed, a.places[0].Worker, false)
 		}, []string{"start x claim= on d0-w0"}},
+		{"work that may run only once returns to workers whose failure is long past", func(d *driver) {
+			for n, worker := range []string{"d0-w0", "d0-w1", "d1-w0", "d1-w1"} {
+				id := d.add(fmt.Sprint("bad", n), "c", 1, nil)
+				d.decide(encoder.Entry{AttemptCommitted: &encoder.AttemptCommitted{ID: id, Attempt: 1, Placements: []encoder.Placement{{Worker: worker, Tasks: 1}}}})
+				d.decide(encoder.Entry{AttemptEnded: &encoder.AttemptEnded{ID: id, Attempt: 1, Result: encoder.ResultFailed, Worker: worker}})
+				d.cancel(id)
+			}
+			d.nowMS += planner.DoubtMS
+			d.add("x", "c", 1, once)
+		}, []string{"start x claim= on d1-w1"}},
 		{"work moves out of a domain that is out as soon as it has a place", func(d *driver) {
 			d.add("x", "c", 1, saved)
 			d.add("y", "c", 1, nil)
--- a/internal/ledger/reducer/reducer_test.go
+++ b/internal/ledger/reducer/reducer_test.go
@@ -163,6 +163,37 @@
 	}
 }
 
+// TestBadJobIsNotTheWorkersFault lets a job fail for good on three workers: it
+// leaves no mark on them.
+func TestBadJobIsNotTheWorkersFault(t *testing.T) {
+	st := newStory()
+	ticket := fleetTicket()
+	ticket.WorkerGroups[0].Workers = append(ticket.WorkerGroups[0].Workers, specifier.Worker{Name: "w3", Address: "10.0.0.3:1", Processors: 64, MemoryMB: 64000, Accelerators: 8})
+	st.ticket(ticket)
+	e := job("k", nil)
+	st.add("i2/b", e)
+	id := e.JobSubmitted.ID
+	for n, worker := range []string{"w1", "w2", "w3"} {
+		c := commit(id, n+1)
+		c.AttemptCommitted.Placements[0].Worker = worker
+		st.decide(c)
+		end := ended(id, n+1, encoder.ResultFailed)
+		end.AttemptEnded.Worker = worker
+		st.decide(end)
+		if last := n == 2; !last && len(st.s.Workers[worker].FailedJobs) != 1 {
+			t.Errorf("worker %s is not doubted while the job may still succeed elsewhere", worker)
+		}
+	}
+	if j := st.s.Jobs[id]; j.Status != reducer.JobFailed {
+		t.Errorf("job is %s, want Failed", j.Status)
+	}
+	for worker, h := range st.s.Workers {
+		if len(h.FailedJobs) > 0 {
+			t.Errorf("worker %s is blamed for %v", worker, h.FailedJobs)
+		}
+	}
+}
+
 // TestRefusals holds entries that must have no effect.
 func TestRefusals(t *testing.T) {
 	e := job("k", nil)
--- a/internal/ledger/reducer/settle.go
+++ b/internal/ledger/reducer/settle.go
@@ -51,6 +51,7 @@
 	case j.Spec.NonIdempotent && !j.Resumable:
 		s.finishJob(offset, e, j, JobFailed, encoder.OutcomeRan, "it is not idempotent and may not start again: "+a.EndReason)
 	case a.Result == encoder.ResultFailed && j.Failures >= j.Spec.MaxAttempts:
+		s.acquitWorkers(j)
 		s.finishJob(offset, e, j, JobFailed, encoder.OutcomeRan, fmt.Sprintf("failed %d times, last: %s", j.Failures, a.EndReason))
 	default:
 		s.requeue(offset, e, j)
--- a/internal/ledger/reducer/state.go
+++ b/internal/ledger/reducer/state.go
@@ -134,10 +134,12 @@
 
 // WorkerHealth is what the fold knows of one worker.
 type WorkerHealth struct {
-	Silent        bool
-	SilentReason  string
-	SinceMS       int64
-	FailedJobs    []string `cbor:",omitempty"`
+	Silent       bool
+	SilentReason string
+	SinceMS      int64
+	FailedJobs   []string `cbor:",omitempty"`
+	// FailedMS is when a job last failed there.
+	FailedMS      int64
 	QuarantinedMS int64
 	// UntilMS ends the quarantine; afterwards the worker is on probation until
 	// a job finishes there.
--- a/internal/ledger/reducer/workers.go
+++ b/internal/ledger/reducer/workers.go
@@ -54,7 +54,7 @@
 	if slices.Contains(h.FailedJobs, job) {
 		return
 	}
-	h.FailedJobs = append(h.FailedJobs, job)
+	h.FailedJobs, h.FailedMS = append(h.FailedJobs, job), e.At
 	if (len(h.FailedJobs) >= QuarantineAfter || h.Probation) && s.mayQuarantine(e.At) {
 		h.QuarantinedMS, h.UntilMS = e.At, e.At+QuarantineMS
 		h.Probation, h.FailedJobs = true, nil
@@ -63,6 +63,19 @@
 	s.Workers[name] = h
 }
 
+// acquitWorkers takes a job that failed for good, on one worker after the
+// other, off their records: the fault was the job's.
+func (s *State) acquitWorkers(j *Job) {
+	for _, name := range j.FailedOn {
+		h, ok := s.Workers[name]
+		if !ok {
+			continue
+		}
+		h.FailedJobs = slices.DeleteFunc(slices.Clone(h.FailedJobs), func(id string) bool { return id == j.ID })
+		s.Workers[name] = h
+	}
+}
+
 func (s *State) mayQuarantine(at int64) bool {
 	quarantined, total := 0, 0
 	for _, h := range s.Workers {
