--- a/cmd/daisyhead/changes.go
+++ b/cmd/daisyhead/changes.go
@@ -28,7 +28,7 @@
 	if err := parser.Parse(f.File, data, &t); err != nil {
 		return t, err
 	}
-	return t, t.Validate()
+	return t, errors.Wrap(t.Validate(), f.File)
 }
 
 // apply sends a ticket and prints the verdict.
--- a/cmd/daisyhead/jobs.go
+++ b/cmd/daisyhead/jobs.go
@@ -122,7 +122,7 @@
 
 type jobArgs struct {
 	Args struct {
-		ID []string `positional-arg-name:"ID"`
+		ID []string `positional-arg-name:"ID" required:"1"`
 	} `positional-args:"yes" required:"yes"`
 }
 
