--- a/internal/control/decider/golden_test.go
+++ b/internal/control/decider/golden_test.go
@@ -2,23 +2,18 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"daisyhead/internal/control/decider"
 	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
 	"daisyhead/internal/platform/runner"
+	"daisyhead/internal/standin/comparer"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // session plays messages to a model whose proposals are folded at once, and
 // writes down each message and each command.
 type session struct {
@@ -132,21 +127,5 @@
 	s.read()
 	s.after(1, decider.ExchangedMsg{Worker: "w2", Reply: table(4, runner.TaskFinished)})
 	s.after(100, decider.TickMsg{})
-	golden(t, "testdata/gang.txt", s.out.String())
-}
-
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s differs (-want +got):\n%s", file, diff)
-	}
+	comparer.Golden(t, "testdata/gang.txt", s.out.String())
 }
--- a/internal/control/explainer/explainer_test.go
+++ b/internal/control/explainer/explainer_test.go
@@ -1,20 +1,15 @@
 package explainer_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"daisyhead/internal/control/explainer"
 	"daisyhead/internal/entry/specifier"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/standin/comparer"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // TestStory tells the story of a settlement that was moved out of a domain by a
 // ticket and then lost its worker.
 func TestStory(t *testing.T) {
@@ -53,21 +48,5 @@
 	add(1, encoder.Entry{AttemptEnded: &encoder.AttemptEnded{ID: id, Attempt: 3, Result: encoder.ResultLost, Worker: "penha-1-1", Reason: "worker penha-1-1 is silent and its leases have run out"}})
 
 	got := explainer.Explain(s, s.Jobs[id], now).Text()
-	golden(t, "testdata/settlement.txt", got)
-}
-
-func golden(t *testing.T, file, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(want), got); diff != "" {
-		t.Errorf("%s differs (-want +got):\n%s", file, diff)
-	}
+	comparer.Golden(t, "testdata/settlement.txt", got)
 }
--- /dev/null
+++ b/internal/peer/messenger/messenger_test.go
@@ -0,0 +1,107 @@
+package messenger_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"daisyhead/internal/peer/encoder"
+	"daisyhead/internal/peer/messenger"
+	"daisyhead/internal/product/keymaker"
+)
+
+// handler tells its name and keeps what it hears.
+type handler struct {
+	name  string
+	heard chan encoder.Heartbeat
+}
+
+func (h handler) Heartbeat() encoder.Heartbeat { return encoder.Heartbeat{Name: h.name, Term: 7} }
+
+func (h handler) Heard(b encoder.Heartbeat) {
+	select {
+	case h.heard <- b:
+	default:
+	}
+}
+
+func (h handler) State() (data []byte, next uint64, err error) { return []byte("state"), 42, nil }
+
+// node is a messenger on a free port that runs until the test ends.
+func node(t *testing.T, authority *keymaker.Authority, certificate, name string) (*messenger.Messenger, handler, string) {
+	t.Helper()
+	l, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.LocalAddr().String()
+	_ = l.Close()
+	pair, err := authority.Certificate(certificate, []string{"127.0.0.1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tls, err := keymaker.TLS(pair, authority.Pair.Certificate)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := messenger.Listen(messenger.Config{Name: name, Address: address, TLS: tls, Interval: 20 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := handler{name: name, heard: make(chan encoder.Heartbeat, 16)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx, h)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return m, h, address
+}
+
+func newAuthority(t *testing.T) *keymaker.Authority {
+	t.Helper()
+	a, err := keymaker.NewAuthority("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestHeartbeatsAndState(t *testing.T) {
+	authority := newAuthority(t)
+	a, _, _ := node(t, authority, "a", "a")
+	_, hb, address := node(t, authority, "b", "b")
+	a.SetPeers([]messenger.Peer{{Name: "a", Address: "127.0.0.1:1"}, {Name: "b", Address: address}})
+	if got := <-hb.heard; got.Name != "a" || got.Term != 7 {
+		t.Errorf("heard %+v", got)
+	}
+	data, reply, err := a.FetchState(t.Context())
+	if err != nil || string(data) != "state" || reply.Next != 42 {
+		t.Errorf("state %q before %d, %v", data, reply.Next, err)
+	}
+}
+
+// TestStrangersAreNotHeard connects an instance whose certificate is of another
+// authority, and one that claims another's name. Both try until a proper peer
+// has been heard several times.
+func TestStrangersAreNotHeard(t *testing.T) {
+	authority := newAuthority(t)
+	_, h, address := node(t, authority, "b", "b")
+	peers := []messenger.Peer{{Name: "b", Address: address}}
+	foreign, _, _ := node(t, newAuthority(t), "a", "foreign")
+	foreign.SetPeers(peers)
+	liar, _, _ := node(t, authority, "a", "liar")
+	liar.SetPeers(peers)
+	proper, _, _ := node(t, authority, "proper", "proper")
+	proper.SetPeers(peers)
+	for range 10 {
+		if got := <-h.heard; got.Name != "proper" {
+			t.Fatalf("heard %+v", got)
+		}
+	}
+}
