--- a/internal/control/decider/commands.go
+++ b/internal/control/decider/commands.go
@@ -61,6 +61,12 @@
 	Data []byte
 }
 
+// ConfirmCmd marks a snapshot as matching this instance's own fold.
+type ConfirmCmd struct {
+	Next uint64
+	Hash uint64
+}
+
 // AlarmCmd reports a condition that an operator should know of.
 type AlarmCmd struct {
 	Name   string
--- a/internal/control/decider/golden_test.go
+++ b/internal/control/decider/golden_test.go
@@ -52,7 +52,7 @@
 func shorten(text string) string {
 	for _, kind := range []string{
 		"TermClaimed", "TermRenewed", "MembersChanged", "TicketReceived", "JobSubmitted", "CancelRequested", "JobRefused", "JobNoted", "AttemptUnwound",
-		"AttemptCommitted", "AttemptRunning", "StopRequested", "AttemptEnded", "WorkerObserved", "RequestClaimed", "RequestEnded", "SnapshotWritten",
+		"AttemptCommitted", "AttemptRunning", "StopRequested", "AttemptEnded", "WorkerObserved", "RequestClaimed", "RequestEnded", "SnapshotPlanned", "SnapshotWritten",
 	} {
 		text = strings.ReplaceAll(text, `"`+kind+`":null,`, "")
 		text = strings.ReplaceAll(text, `,"`+kind+`":null`, "")
--- a/internal/control/decider/harness_test.go
+++ b/internal/control/decider/harness_test.go
@@ -239,7 +239,7 @@
 func (i *instance) loadFirst(ctx context.Context) *reducer.State {
 	for {
 		lctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		state, err := snapshotter.Load(lctx, i.snaps)
+		state, err := snapshotter.Load(lctx, i.snaps, 0)
 		cancel()
 		if err == nil && state == nil {
 			return reducer.New()
@@ -321,8 +321,12 @@
 	i.alarms = append(i.alarms, name+": "+detail)
 }
 
-func (i *instance) Load(ctx context.Context) (*reducer.State, error) {
-	return snapshotter.Load(ctx, i.snaps)
+func (i *instance) Load(ctx context.Context, atLeast uint64) (*reducer.State, error) {
+	return snapshotter.Load(ctx, i.snaps, atLeast)
+}
+
+func (i *instance) Confirm(ctx context.Context, next, hash uint64) error {
+	return snapshotter.Confirm(ctx, i.snaps, next, hash)
 }
 
 func (i *instance) Write(ctx context.Context, next uint64, data []byte) (uint64, error) {
--- a/internal/control/decider/model.go
+++ b/internal/control/decider/model.go
@@ -90,7 +90,9 @@
 	lastViewMS   int64
 	dirty        bool
 	snapshotting bool
-	plans        uint64
+	// point is the state at the latest planned snapshot.
+	point snapshotPoint
+	plans uint64
 
 	cmds []Command
 }
@@ -166,7 +168,7 @@
 		m.reconcileAll()
 	}
 	m.plan()
-	m.writeSnapshot()
+	m.planSnapshot()
 }
 
 func (m *Model) foldRecords(msg RecordsReadMsg) {
@@ -202,6 +204,7 @@
 	if r.Batch.Writer == m.state.Holder {
 		m.holderSeenMS = m.at.MonoMS
 	}
+	m.followSnapshots(r.Batch, results)
 	if r.Batch.Writer == m.cfg.Writer {
 		m.emit(ResolveCmd{Sequence: r.Batch.Sequence, Results: results})
 	}
--- a/internal/control/decider/planning.go
+++ b/internal/control/decider/planning.go
@@ -4,7 +4,6 @@
 	"daisyhead/internal/control/planner"
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
-	"daisyhead/internal/ledger/serializer"
 )
 
 // idlePlanMS is the interval of decision passes when nothing has changed.
@@ -63,34 +62,3 @@
 		}
 	}
 }
-
-// writeSnapshot asks for a snapshot before the records since the last one
-// grow old or many.
-func (m *Model) writeSnapshot() {
-	if !m.mayDecide() || m.snapshotting || m.state.Next == 0 {
-		return
-	}
-	records := m.state.Next - m.state.SnapshotNext
-	age := m.at.WallMS - max(m.state.SnapshotMS, m.state.TermSince)
-	if records < m.cfg.SnapshotRecords && (age < m.cfg.SnapshotMS || records == 0) {
-		return
-	}
-	data, err := serializer.Marshal(m.state)
-	if err != nil {
-		m.emit(AlarmCmd{Name: "SnapshotFailed", Detail: err.Error()})
-		return
-	}
-	m.snapshotting = true
-	m.emit(SnapshotCmd{Next: m.state.Next, Data: data})
-}
-
-func (m *Model) finishSnapshot(msg SnapshotDoneMsg) {
-	m.snapshotting = false
-	if msg.Err != "" {
-		m.emit(AlarmCmd{Name: "SnapshotFailed", Detail: msg.Err})
-		return
-	}
-	if m.mayDecide() {
-		m.propose("snapshot", encoder.Entry{SnapshotWritten: &encoder.SnapshotWritten{Next: msg.Next, Hash: msg.Hash}})
-	}
-}
--- a/internal/control/decider/schedule_test.go
+++ b/internal/control/decider/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,6 +219,17 @@
 	}
 }
 
+// checkAlarms holds that no instance's fold has parted from another's.
+func (s *schedule) checkAlarms() {
+	for _, i := range s.live() {
+		for _, alarm := range i.alarms {
+			if strings.HasPrefix(alarm, "StateDiverged") {
+				s.t.Errorf("%s: %s", i.name, alarm)
+			}
+		}
+	}
+}
+
 func TestSchedule(t *testing.T) {
 	seeds := []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
 	if *seedFlag != 0 {
@@ -239,6 +251,7 @@
 				s.judge()
 				s.checkOutcomes()
 				s.checkReplay()
+				s.checkAlarms()
 				if t.Failed() {
 					t.Logf("replay with: go test ./internal/control/decider -run TestSchedule -seed %d", seed)
 				}
--- /dev/null
+++ b/internal/control/decider/snapshots_test.go
@@ -0,0 +1,57 @@
+package decider_test
+
+import (
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"daisyhead/internal/control/decider"
+	"daisyhead/internal/ledger/encoder"
+	"daisyhead/internal/ledger/reducer"
+	"daisyhead/internal/ledger/serializer"
+)
+
+// TestSnapshotIsChecked lets a follower fold another instance's snapshot, with
+// the checksum of its own fold and with another.
+func TestSnapshotIsChecked(t *testing.T) {
+	record := func(n uint64, term uint64, e encoder.Entry) decider.ReadRecord {
+		e.Term = term
+		return decider.ReadRecord{Offset: n, Batch: encoder.Batch{Version: 1, Writer: "i2/1", Sequence: n + 1, Entries: []encoder.Entry{e}}}
+	}
+	claim := record(0, 0, encoder.Entry{TermClaimed: &encoder.TermClaimed{Term: 1, Holder: "i2/1"}})
+	plan := record(1, 1, encoder.Entry{SnapshotPlanned: &encoder.SnapshotPlanned{}})
+	folded := reducer.New()
+	folded.Apply(0, claim.Batch)
+	folded.Apply(1, plan.Batch)
+	data, err := serializer.Marshal(folded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hash := xxhash.Sum64(data)
+	tests := []struct {
+		name string
+		hash uint64
+		want []string
+	}{
+		{"the same fold", hash, []string{"confirm"}},
+		{"another fold", hash + 1, []string{"StateDiverged"}},
+	}
+	for _, test := range tests {
+		m := decider.New(decider.Config{Name: "i1", Writer: "i1/1", FreshMS: 2000}, reducer.New())
+		written := record(2, 1, encoder.Entry{SnapshotWritten: &encoder.SnapshotWritten{Next: 2, Hash: test.hash}})
+		_, cmds := m.Update(decider.Instant{MonoMS: 1}, decider.RecordsReadMsg{Records: []decider.ReadRecord{claim, plan, written}, CaughtUp: true})
+		var got []string
+		for _, c := range cmds {
+			switch c := c.(type) {
+			case decider.ConfirmCmd:
+				got = append(got, "confirm")
+			case decider.AlarmCmd:
+				got = append(got, c.Name)
+			}
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s: commands differ (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
--- a/internal/control/dispatcher/dispatcher.go
+++ b/internal/control/dispatcher/dispatcher.go
@@ -40,6 +40,8 @@
 // Snapshots writes the folded state.
 type Snapshots interface {
 	Write(ctx context.Context, next uint64, data []byte) (hash uint64, err error)
+	// Confirm marks a snapshot as checked by another instance.
+	Confirm(ctx context.Context, next, hash uint64) error
 }
 
 // Publisher takes new views for traffic goroutines.
@@ -92,6 +94,8 @@
 		go d.stopTasks(c)
 	case decider.SnapshotCmd:
 		go d.snapshot(c)
+	case decider.ConfirmCmd:
+		go d.confirm(c)
 	}
 }
 
@@ -153,6 +157,14 @@
 	d.send(decider.SnapshotDoneMsg{Next: c.Next, Hash: hash, Err: text(err)})
 }
 
+func (d *Dispatcher) confirm(c decider.ConfirmCmd) {
+	ctx, cancel := context.WithTimeout(d.ctx, SnapshotTimeout)
+	defer cancel()
+	if err := d.Snapshots.Confirm(ctx, c.Next, c.Hash); err != nil {
+		d.Alarms.Alarm("SnapshotUnconfirmed", err.Error())
+	}
+}
+
 func text(err error) string {
 	if err == nil {
 		return ""
--- a/internal/ledger/encoder/entries.go
+++ b/internal/ledger/encoder/entries.go
@@ -36,6 +36,7 @@
 	WorkerObserved   *WorkerObserved   `cbor:",omitempty"`
 	RequestClaimed   *RequestClaimed   `cbor:",omitempty"`
 	RequestEnded     *RequestEnded     `cbor:",omitempty"`
+	SnapshotPlanned  *SnapshotPlanned  `cbor:",omitempty"`
 	SnapshotWritten  *SnapshotWritten  `cbor:",omitempty"`
 }
 
@@ -102,6 +103,10 @@
 	Reason string
 }
 
+// SnapshotPlanned makes every instance take the checksum of its state after this
+// record; the holder writes that state as a snapshot.
+type SnapshotPlanned struct{}
+
 // SnapshotWritten records that a snapshot of all records before Next is complete.
 type SnapshotWritten struct {
 	Next uint64
@@ -234,7 +239,7 @@
 		return true
 	case e.AttemptUnwound != nil, e.AttemptCommitted != nil, e.AttemptRunning != nil:
 		return true
-	case e.StopRequested != nil, e.AttemptEnded != nil, e.WorkerObserved != nil, e.SnapshotWritten != nil:
+	case e.StopRequested != nil, e.AttemptEnded != nil, e.WorkerObserved != nil, e.SnapshotPlanned != nil, e.SnapshotWritten != nil:
 		return true
 	}
 	return false
--- a/internal/ledger/recorder/follower.go
+++ b/internal/ledger/recorder/follower.go
@@ -30,9 +30,9 @@
 	Fault  string
 }
 
-// Loader finds the newest usable state.
+// Loader finds a usable state, if there is one that reaches the offset.
 type Loader interface {
-	Load(ctx context.Context) (state *reducer.State, err error)
+	Load(ctx context.Context, atLeast uint64) (state *reducer.State, err error)
 }
 
 // Follower reads the ledger from an offset on.
@@ -99,7 +99,7 @@
 
 // bridgeGap loads a snapshot when records expired before they were read.
 func (f *Follower) bridgeGap(ctx context.Context, page appender.Page, next uint64) uint64 {
-	state, err := f.Loader.Load(ctx)
+	state, err := f.Loader.Load(ctx, page.First)
 	if err == nil && state != nil && state.Next >= page.First {
 		f.Sink.Loaded(state)
 		return state.Next
--- a/internal/ledger/reducer/apply.go
+++ b/internal/ledger/reducer/apply.go
@@ -109,6 +109,8 @@
 		return s.endRequest(writer, e)
 	case e.WorkerObserved != nil:
 		return s.observeWorker(offset, e)
+	case e.SnapshotPlanned != nil:
+		return accepted
 	case e.SnapshotWritten != nil:
 		s.SnapshotNext, s.SnapshotMS = e.SnapshotWritten.Next, e.At
 		return accepted
--- a/internal/ledger/snapshotter/snapshotter.go
+++ b/internal/ledger/snapshotter/snapshotter.go
@@ -2,12 +2,17 @@
 // chunks with checksums, and finds the newest complete snapshot there.
 //
 //	hash, err := snapshotter.Write(ctx, log, next, data)
-//	state, err := snapshotter.Load(ctx, log)
+//	err = snapshotter.Confirm(ctx, log, next, hash)
+//	state, err := snapshotter.Load(ctx, log, 0)
+//
+// A snapshot that another instance has confirmed against its own fold goes
+// before newer ones that nobody has.
 package snapshotter
 
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +49,8 @@
 	// Hash is the checksum of the whole snapshot.
 	Hash uint64
 	Data []byte
+	// Confirmed marks a record that confirms the snapshot and holds no data.
+	Confirmed bool `cbor:",omitempty"`
 }
 
 // Write appends the encoded state. A chunk that lands twice does no harm.
@@ -58,7 +65,7 @@
 	if count > MaxChunks {
 		return 0, errors.Newf("%d chunks exceed %d", count, MaxChunks)
 	}
-	id := fmt.Sprintf("%d-%x", next, hash)
+	id := snapshotID(next, hash)
 	for i := range count {
 		end := min((i+1)*ChunkBytes, len(data))
 		chunk := Chunk{Version: encoder.Version, ID: id, Next: next, Index: i, Count: count, Hash: hash, Data: data[i*ChunkBytes : end]}
@@ -69,6 +76,14 @@
 	return hash, nil
 }
 
+func snapshotID(next, hash uint64) string { return fmt.Sprintf("%d-%x", next, hash) }
+
+// Confirm records that another instance's fold gave the same checksum.
+func Confirm(ctx context.Context, log Log, next, hash uint64) (err error) {
+	c := Chunk{Version: encoder.Version, ID: snapshotID(next, hash), Next: next, Count: 1, Hash: hash, Confirmed: true}
+	return errors.Wrapf(appendChunk(ctx, log, c), "confirm snapshot before offset %d", next)
+}
+
 func appendChunk(ctx context.Context, log Log, c Chunk) error {
 	record, err := serializer.Marshal(c)
 	if err != nil {
@@ -88,15 +103,16 @@
 	}
 }
 
-// Load returns the newest complete snapshot, or nil when there is none. Broken
-// and incomplete ones are passed over.
-func Load(ctx context.Context, log Log) (state *reducer.State, err error) {
+// Load returns the newest confirmed snapshot, or the newest one when the
+// confirmed ones end before the offset atLeast, or nil when there is none.
+// Broken and incomplete ones are passed over.
+func Load(ctx context.Context, log Log, atLeast uint64) (state *reducer.State, err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrap(err, "load snapshot")
 		}
 	}()
-	c := collector{partial: map[string][]Chunk{}}
+	c := collector{partial: map[string][]Chunk{}, confirmed: map[string]bool{}}
 	from := uint64(0)
 	for {
 		page, err := log.Read(ctx, from, pageChunks, 0)
@@ -111,14 +127,36 @@
 			from = page.First
 		}
 		if from >= page.Next {
-			return c.state, nil
+			return c.best(atLeast), nil
 		}
 	}
 }
 
 type collector struct {
-	partial map[string][]Chunk
-	state   *reducer.State
+	partial   map[string][]Chunk
+	confirmed map[string]bool
+	// states are the complete snapshots, in the order of their offsets.
+	states []loaded
+}
+
+type loaded struct {
+	id    string
+	state *reducer.State
+}
+
+// keepStates bounds the complete snapshots that are held while reading.
+const keepStates = 4
+
+func (c *collector) best(atLeast uint64) *reducer.State {
+	for _, l := range slices.Backward(c.states) {
+		if c.confirmed[l.id] && l.state.Next >= atLeast {
+			return l.state
+		}
+	}
+	if len(c.states) == 0 {
+		return nil
+	}
+	return c.states[len(c.states)-1].state
 }
 
 func (c *collector) add(record []byte) {
@@ -129,7 +167,11 @@
 	if chunk.Count < 1 || chunk.Count > MaxChunks || chunk.Index < 0 || chunk.Index >= chunk.Count {
 		return
 	}
-	if c.state != nil && chunk.Next <= c.state.Next {
+	if chunk.Confirmed {
+		c.confirmed[chunk.ID] = true
+		return
+	}
+	if slices.ContainsFunc(c.states, func(l loaded) bool { return l.state.Next >= chunk.Next }) {
 		return
 	}
 	chunks := c.partial[chunk.ID]
@@ -153,8 +195,12 @@
 	}
 	delete(c.partial, id)
 	state, err := Decode(data, chunks[0].Hash)
-	if err == nil && state.Next == chunks[0].Next {
-		c.state = state
+	if err != nil || state.Next != chunks[0].Next {
+		return
+	}
+	c.states = append(c.states, loaded{id, state})
+	if len(c.states) > keepStates {
+		c.states = slices.Delete(c.states, 0, 1)
 	}
 }
 
--- a/internal/product/assembler/adapters.go
+++ b/internal/product/assembler/adapters.go
@@ -89,6 +89,10 @@
 	return snapshotter.Write(ctx, w.log, next, data)
 }
 
+func (w snapshotWriter) Confirm(ctx context.Context, next, hash uint64) error {
+	return snapshotter.Confirm(ctx, w.log, next, hash)
+}
+
 func (i *Instance) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
--- a/internal/product/assembler/logging.go
+++ b/internal/product/assembler/logging.go
@@ -63,6 +63,8 @@
 		return "RequestClaimed"
 	case e.RequestEnded != nil:
 		return "RequestEnded"
+	case e.SnapshotPlanned != nil:
+		return "SnapshotPlanned"
 	case e.SnapshotWritten != nil:
 		return "SnapshotWritten"
 	}
--- a/internal/product/assembler/platform.go
+++ b/internal/product/assembler/platform.go
@@ -34,16 +34,16 @@
 type stateLoader struct{ instance *Instance }
 
 // Load returns nil without an error when there is no snapshot yet.
-func (l stateLoader) Load(ctx context.Context) (*reducer.State, error) {
+func (l stateLoader) Load(ctx context.Context, atLeast uint64) (*reducer.State, error) {
 	lctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	return snapshotter.Load(lctx, l.instance.snapshots)
+	return snapshotter.Load(lctx, l.instance.snapshots, atLeast)
 }
 
 // loadState waits for a state to start from, until the context ends.
 func (i *Instance) loadState(ctx context.Context) *reducer.State {
 	for try := 0; ctx.Err() == nil; try++ {
-		state, err := stateLoader{i}.Load(ctx)
+		state, err := stateLoader{i}.Load(ctx, 0)
 		if err == nil && state == nil {
 			return reducer.New()
 		}
