Forget what a dead instance had in flight

Cause: reading the whole change again: the last heartbeat of a killed instance was kept for ever, so the slots that it had in use stayed withheld from the others, and each replaced instance with a new name stayed in every view. Before: the two new tests red (5 slots of 8 three minutes after the death, 50 peers known after an hour).

--- a/internal/control/decider/model.go
+++ b/internal/control/decider/model.go
@@ -156,6 +156,7 @@
 }
 
 func (m *Model) tick() {
+	m.forgetPeers()
 	m.claimTerm()
 	if !m.holds() {
 		return
--- a/internal/control/decider/snapshots_test.go
+++ b/internal/control/decider/snapshots_test.go
@@ -1,6 +1,7 @@
 package decider_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,6 +11,7 @@
 	"daisyhead/internal/ledger/encoder"
 	"daisyhead/internal/ledger/reducer"
 	"daisyhead/internal/ledger/serializer"
+	peerencoder "daisyhead/internal/peer/encoder"
 )
 
 // TestSnapshotIsChecked lets a follower fold another instance's snapshot, with
@@ -55,3 +57,17 @@
 		}
 	}
 }
+
+// TestSilentPeersAreForgotten hears many short-lived instances once each.
+func TestSilentPeersAreForgotten(t *testing.T) {
+	m := decider.New(decider.Config{Name: "i1", Writer: "i1/1", FreshMS: 2000, HolderTimeoutMS: 1500}, reducer.New())
+	for n := range 50 {
+		m, _ = m.Update(decider.Instant{MonoMS: int64(n)}, decider.PeerMsg{Heartbeat: peerencoder.Heartbeat{Name: fmt.Sprint("old-", n)}})
+	}
+	m, _ = m.Update(decider.Instant{MonoMS: 3600 * 1000}, decider.TickMsg{})
+	known := -1
+	m.Update(decider.Instant{MonoMS: 3600*1000 + 1}, decider.InspectMsg{Done: make(chan struct{}), Read: func(_ *reducer.State, l decider.Liaison) { known = len(l.Peers) }})
+	if known != 0 {
+		t.Errorf("%d peers are known an hour after they fell silent, want 0", known)
+	}
+}
--- a/internal/control/decider/terms.go
+++ b/internal/control/decider/terms.go
@@ -73,6 +73,16 @@
 	m.propose("renew", encoder.Entry{TermRenewed: &encoder.TermRenewed{}})
 }
 
+// forgetPeers drops instances that have been silent for long, unless they are
+// members still.
+func (m *Model) forgetPeers() {
+	for name, p := range m.peers {
+		if m.at.MonoMS-p.heardMS > suspectMS && !m.state.IsMember(name) {
+			delete(m.peers, name)
+		}
+	}
+}
+
 func (m *Model) hasSuspects() bool {
 	for name, p := range m.peers {
 		if silent := m.at.MonoMS - p.heardMS; silent > m.cfg.HolderTimeoutMS/2 && silent < suspectMS && !p.Drained {
--- a/internal/traffic/limiter/limiter_test.go
+++ b/internal/traffic/limiter/limiter_test.go
@@ -153,3 +153,27 @@
 		<-order
 	})
 }
+
+// TestDeadInstanceFreesItsSlots lets an instance die with requests in flight:
+// its slots are withheld for a while and then used by the others.
+func TestDeadInstanceFreesItsSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		for _, test := range []struct {
+			silent time.Duration
+			want   int
+		}{{10 * time.Second, 5}, {3 * time.Minute, 8}} {
+			l := limiter.New("a", limiter.Config{Fresh: 2 * time.Second, SettleTime: 3 * time.Second, Start: start})
+			v := viewOf(start, 1, 2, "a")
+			v.FreshMS = time.Since(start).Milliseconds()
+			v.Peers["dead"] = decider.PeerView{
+				Heartbeat:  peerencoder.Heartbeat{Name: "dead", Epoch: 1, SlotsUsed: map[string]int{"10.0.0.1:1": 3}},
+				HeardAgoMS: test.silent.Milliseconds(),
+			}
+			l.Update(v)
+			if got := len(acquireAll(l)); got != test.want {
+				t.Errorf("silent for %s: %d slots, want %d", test.silent, got, test.want)
+			}
+		}
+	})
+}
--- a/internal/traffic/limiter/share.go
+++ b/internal/traffic/limiter/share.go
@@ -23,6 +23,11 @@
 	}
 }
 
+// deadAfter is how long the requests of an instance that is no member and no
+// longer heard are taken to be in flight; it is longer than AbandonTime of the
+// router.
+const deadAfter = 2 * time.Minute
+
 // othersOver returns how many slots the others use or may use. A member that
 // still has requests in flight beyond its new share keeps them.
 func (l *Limiter) othersOver(t decider.Target) int {
@@ -33,7 +38,8 @@
 		}
 	}
 	for name, p := range l.view.Peers {
-		if name != l.name && !slices.Contains(l.view.Members, name) {
+		silent := time.Duration(p.HeardAgoMS) * time.Millisecond
+		if name != l.name && silent < deadAfter && !slices.Contains(l.view.Members, name) {
 			total += p.SlotsUsed[t.Address]
 		}
 	}
