Serve the users' platform: jobs of many steps, a ledger of keyed records, one adapter

Cause: the platform's jobs have steps, gangs, attempts and priorities, its workers know leases and fencing tokens but no reservations, and no instance has a disk. The product's job model and its worker protocol could not carry them.

Change: internal/workload holds the job model (describer), the fold of keyed records (tabulator), placement (packer), order (ranker), the control loop (scheduler), readers and writers of feeds (follower), callers (acceptor), calls between instances (forwarder), the log (reporter) and their assembly. platform/ translates settings, store, workers and callers. deploy/system.toml runs one role on all machines.

--- a/cmd/daisyhead/commands.go
+++ b/cmd/daisyhead/commands.go
@@ -23,6 +23,7 @@
 
 func addCommands(p *flags.Parser) {
 	must(p.AddCommand("serve", "Run one entry instance", "Runs one entry instance until SIGTERM or SIGINT, then shuts down gracefully.", &serveCommand{}))
+	must(group(p, "platform", "Run on the users' platform").AddCommand("serve", "Run one instance on the platform", "Runs one instance by the platform's settings until SIGTERM or SIGINT, then shuts down gracefully.", &platformServeCommand{}))
 	must(p.AddCommand("demo", "Show everything in one process", "Runs three instances against stand-ins of the platform on loopback, puts them through failures and counts broken promises. Ends within a minute.", &demoCommand{}))
 	must(p.AddCommand("audit", "Read the audit trail", "Lists who changed what, refusals included.", &auditCommand{}))
 	must(p.AddCommand("version", "Print the version", "", &versionCommand{}))
--- /dev/null
+++ b/internal/workload/acceptor/acceptor.go
@@ -0,0 +1,327 @@
+// Package acceptor answers callers: it takes jobs, tells their state and takes
+// cancellations, for any job at any instance.
+//
+//	a := acceptor.Acceptor{Jobs: jobs, Ledger: writer, Catalog: catalog, Peers: peers}
+//	answer := a.Answer(ctx, acceptor.Call{Kind: acceptor.KindState, Host: host, Path: path, Key: key})
+package acceptor
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/follower"
+	"daisyhead/internal/workload/tabulator"
+)
+
+// Kind is what a caller asks for.
+type Kind string
+
+// The kinds of call.
+const (
+	KindSubmit Kind = "Submit"
+	KindState  Kind = "State"
+	KindCancel Kind = "Cancel"
+)
+
+// Call is a caller's request.
+type Call struct {
+	Kind Kind
+	Host string
+	Path string
+	// Key proves the workspace.
+	Key string
+	// Job is set for KindSubmit; its ID and Workspace are filled in here.
+	Job *describer.Job `cbor:",omitempty"`
+	// Fault tells why the submitted job could not be understood.
+	Fault string `cbor:",omitempty"`
+	// WithinMS is how long the caller waits for the answer.
+	WithinMS int64
+	// Forwarded is set when a peer has passed the call on.
+	Forwarded bool `cbor:",omitempty"`
+}
+
+// Verdict is the kind of an answer.
+type Verdict string
+
+// The verdicts.
+const (
+	// Accepted means that the job is stored.
+	Accepted Verdict = "Accepted"
+	// Told carries a job's State.
+	Told Verdict = "Told"
+	// Counted carries a queue's Pending.
+	Counted Verdict = "Counted"
+	// Cancelled means that the cancellation is stored.
+	Cancelled Verdict = "Cancelled"
+	// NoQueue means that no queue has the host and path.
+	NoQueue Verdict = "NoQueue"
+	// NoKey means that the key belongs to no workspace.
+	NoKey Verdict = "NoKey"
+	// NoJob means that there is no such job.
+	NoJob Verdict = "NoJob"
+	// Invalid means that the job can't be understood.
+	Invalid Verdict = "Invalid"
+	// NotRun means that the call had no effect and will have none.
+	NotRun Verdict = "NotRun"
+	// Unknown means that the call may have had an effect.
+	Unknown Verdict = "Unknown"
+)
+
+// Answer is what the caller gets.
+type Answer struct {
+	Verdict Verdict
+	State   tabulator.State `cbor:",omitempty"`
+	Pending int             `cbor:",omitempty"`
+	// RetryAfterMS tells when to come back, for NotRun.
+	RetryAfterMS int64  `cbor:",omitempty"`
+	Reason       string `cbor:",omitempty"`
+}
+
+// JobView is what the ledger tells of a job.
+type JobView struct {
+	Known     bool
+	Cancelled bool
+	State     tabulator.State
+	// AsOf is the time as of which the ledger was read completely.
+	AsOf time.Time
+}
+
+// Jobs looks into the table of jobs.
+type Jobs interface {
+	Job(ctx context.Context, id string) (JobView, bool)
+	Pending(ctx context.Context, queue string) (count int, asOf time.Time, ok bool)
+	// Refresh asks for a read of the ledger without delay.
+	Refresh()
+}
+
+// Ledger stores what callers have asked for.
+type Ledger interface {
+	Append(ctx context.Context, r tabulator.Record) error
+}
+
+// Catalog holds the configuration.
+type Catalog interface {
+	Current() (cfg *describer.Configuration, asOf time.Time)
+}
+
+// Peers pass calls on to other instances. ok is false if no peer took the
+// call; the call has then had no effect.
+type Peers interface {
+	Forward(ctx context.Context, c Call) (a Answer, ok bool)
+}
+
+// Reporter takes events for the log.
+type Reporter interface {
+	Event(name string, fields ...any)
+}
+
+// Acceptor answers calls. Its fields must be set before use.
+type Acceptor struct {
+	Jobs     Jobs
+	Ledger   Ledger
+	Catalog  Catalog
+	Peers    Peers
+	Reporter Reporter
+	// ConfigFresh is the greatest age of a configuration that calls are
+	// judged by.
+	ConfigFresh time.Duration
+	// TableFresh is the greatest age of the table that may say a job is unknown.
+	TableFresh time.Duration
+}
+
+const (
+	// answerMargin is kept for the way back to the caller.
+	answerMargin = 150 * time.Millisecond
+	// retryPause is the pause before an append is tried again.
+	retryPause = 100 * time.Millisecond
+	// outageRetryMS is the Retry-After while the platform is out of reach:
+	// outages last for seconds.
+	outageRetryMS = 1000
+	// defaultWithinMS is how long callers wait that don't say.
+	defaultWithinMS = 3000
+	// refreshPoll is how often a refreshed table is looked at.
+	refreshPoll = 20 * time.Millisecond
+)
+
+// Answer answers one call.
+func (a *Acceptor) Answer(ctx context.Context, c Call) Answer {
+	if c.WithinMS <= 0 {
+		c.WithinMS = defaultWithinMS
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(time.Duration(c.WithinMS)*time.Millisecond-answerMargin, answerMargin))
+	defer cancel()
+	cfg, asOf := a.Catalog.Current()
+	if cfg == nil || time.Since(asOf) > a.ConfigFresh {
+		return a.forward(ctx, c, "the configuration is out of date")
+	}
+	q, workspace, refusal := admit(cfg, c)
+	if refusal != "" {
+		return Answer{Verdict: refusal}
+	}
+	id := strings.TrimPrefix(c.Path, q.PathPrefix)
+	switch {
+	case id == "" && c.Kind == KindState:
+		return a.count(ctx, c, q)
+	case !validID(id):
+		return Answer{Verdict: Invalid, Reason: "a job's ID has 16 hexadecimal digits"}
+	case c.Kind == KindSubmit:
+		return a.submit(ctx, c, q, workspace, id)
+	case c.Kind == KindCancel:
+		return a.cancel(ctx, c, id)
+	}
+	return a.state(ctx, c, id)
+}
+
+// admit finds the queue and checks the key.
+func admit(cfg *describer.Configuration, c Call) (q describer.Queue, workspace string, refusal Verdict) {
+	q, ok := cfg.Route(c.Host, c.Path)
+	if !ok {
+		return q, "", NoQueue
+	}
+	w, ok := cfg.WorkspaceOfKey(c.Key)
+	if !ok && !q.Public {
+		return q, "", NoKey
+	}
+	return q, w.Name, ""
+}
+
+// idLength is the length of a job's ID in hexadecimal digits.
+const idLength = 16
+
+func validID(id string) bool {
+	if len(id) != idLength {
+		return false
+	}
+	return strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
+
+func (a *Acceptor) submit(ctx context.Context, c Call, q describer.Queue, workspace, id string) Answer {
+	if c.Job == nil {
+		return Answer{Verdict: Invalid, Reason: c.Fault}
+	}
+	job := *c.Job
+	job.ID, job.Workspace, job.Queue = id, workspace, q.Name
+	if err := job.Check(); err != nil {
+		return Answer{Verdict: Invalid, Reason: err.Error()}
+	}
+	if v, ok := a.Jobs.Job(ctx, id); ok && v.Known {
+		return Answer{Verdict: Accepted}
+	}
+	s := tabulator.Submission{Job: job, Queue: q, AcceptedMS: time.Now().UnixMilli()}
+	answer := a.store(ctx, c, tabulator.SubmissionRecord(s), Accepted)
+	a.Reporter.Event("JobSubmitted", "Job", id, "Queue", q.Name, "Workspace", workspace, "Verdict", answer.Verdict, "Reason", answer.Reason)
+	return answer
+}
+
+func (a *Acceptor) cancel(ctx context.Context, c Call, id string) Answer {
+	v := a.lookup(ctx, id)
+	switch {
+	case v.Known && v.Cancelled:
+		return Answer{Verdict: Cancelled}
+	case !v.Known && !a.sure(v):
+		return a.forward(ctx, c, "the table of jobs is out of date")
+	case !v.Known:
+		return Answer{Verdict: NoJob}
+	}
+	answer := a.store(ctx, c, tabulator.CancelRecord(id, tabulator.Cancel{AtMS: time.Now().UnixMilli()}), Cancelled)
+	a.Reporter.Event("JobCancelRequested", "Job", id, "Verdict", answer.Verdict, "Reason", answer.Reason)
+	return answer
+}
+
+func (a *Acceptor) state(ctx context.Context, c Call, id string) Answer {
+	v := a.lookup(ctx, id)
+	switch {
+	case v.Known && (a.sure(v) || final(v.State)):
+		return Answer{Verdict: Told, State: v.State}
+	case !a.sure(v):
+		answer := a.forward(ctx, c, "the table of jobs is out of date")
+		if answer.Verdict == NotRun && v.Known {
+			return Answer{Verdict: Told, State: v.State}
+		}
+		return answer
+	}
+	return Answer{Verdict: NoJob}
+}
+
+func final(s tabulator.State) bool {
+	return s == tabulator.StateCompleted || s == tabulator.StateFailed || s == tabulator.StateCancelled
+}
+
+// lookup reads a job; for one that isn't known it waits for a newer table.
+func (a *Acceptor) lookup(ctx context.Context, id string) JobView {
+	asked := time.Now()
+	for {
+		v, ok := a.Jobs.Job(ctx, id)
+		if v.Known || !ok || v.AsOf.After(asked) || time.Since(asked) > a.TableFresh/2 {
+			return v
+		}
+		a.Jobs.Refresh()
+		if !wait(ctx, refreshPoll) {
+			return v
+		}
+	}
+}
+
+func (a *Acceptor) sure(v JobView) bool { return time.Since(v.AsOf) <= a.TableFresh }
+
+func (a *Acceptor) count(ctx context.Context, c Call, q describer.Queue) Answer {
+	n, asOf, ok := a.Jobs.Pending(ctx, q.Name)
+	if !ok || time.Since(asOf) > a.TableFresh {
+		return a.forward(ctx, c, "the table of jobs is out of date")
+	}
+	return Answer{Verdict: Counted, Pending: n}
+}
+
+// store appends a caller's record until it is written, a peer has written it,
+// or the caller's time is over.
+func (a *Acceptor) store(ctx context.Context, c Call, r tabulator.Record, done Verdict) Answer {
+	maybe := false
+	var last error
+	for ctx.Err() == nil {
+		last = a.Ledger.Append(ctx, r)
+		if last == nil {
+			return Answer{Verdict: done}
+		}
+		maybe = maybe || !errors.Is(last, follower.ErrNotWritten)
+		if !c.Forwarded {
+			if answer, ok := a.Peers.Forward(ctx, c); ok && (answer.Verdict == done || !maybe) {
+				return answer
+			}
+		}
+		if !maybe {
+			return notRun("the ledger can't be written: " + last.Error())
+		}
+		wait(ctx, retryPause)
+	}
+	if !maybe {
+		return notRun("no time left")
+	}
+	return Answer{Verdict: Unknown, Reason: "the ledger has not answered"}
+}
+
+// forward lets a peer with newer knowledge answer.
+func (a *Acceptor) forward(ctx context.Context, c Call, reason string) Answer {
+	if !c.Forwarded {
+		if answer, ok := a.Peers.Forward(ctx, c); ok {
+			return answer
+		}
+	}
+	return notRun(reason)
+}
+
+func notRun(reason string) Answer {
+	return Answer{Verdict: NotRun, RetryAfterMS: outageRetryMS, Reason: reason}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/workload/follower/feed.go
@@ -0,0 +1,163 @@
+// Package follower reads feeds of keyed records and writes to the ledger. It
+// carries out what the control loop asks of the ledger and brings back what
+// instances, operators and workers have written.
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrExpired is returned by Feed.Read when records after the offset are gone.
+var ErrExpired = errors.New("records have expired")
+
+// Page is the answer to a read of a feed. Items hold one entry a record.
+type Page[T any] struct {
+	Items []T
+	// End is the offset of the next record that will be written.
+	End uint64
+}
+
+// Feed is a stream of keyed records of which the newest of each key lasts.
+type Feed[T any] interface {
+	// Newest returns the newest records and the offset from which to read on.
+	// Records that were written meanwhile may be missing or be read again.
+	Newest(ctx context.Context) ([]T, uint64, error)
+	// Read returns records from an offset on. It waits for the first one.
+	Read(ctx context.Context, from uint64, wait time.Duration) (Page[T], error)
+}
+
+// Handler takes what a feed brings.
+type Handler[T any] interface {
+	// Load replaces everything by the newest records.
+	Load(items []T, next uint64, sent time.Time)
+	// Take adds records. Nothing else was written before asOf if caughtUp is set.
+	Take(from uint64, items []T, asOf time.Time, caughtUp bool)
+	// Fail tells that the feed could not be read.
+	Fail(err error)
+}
+
+// Pace limits how often a feed is read.
+type Pace struct {
+	// Wait is how long an answer may wait for a record.
+	Wait time.Duration
+	// Interval is the least time between two reads.
+	Interval time.Duration
+}
+
+const (
+	// answerAllowance is added to Wait for the way to the platform and back.
+	answerAllowance = 900 * time.Millisecond
+	loadTimeout     = 3 * time.Second
+	// retryPause is the pause after a failed read.
+	retryPause = 150 * time.Millisecond
+)
+
+// Reader follows one feed.
+type Reader[T any] struct {
+	Feed    Feed[T]
+	Handler Handler[T]
+	// Pace tells how often to read now.
+	Pace func() Pace
+
+	kick chan struct{}
+}
+
+// NewReader returns a reader that is not running yet.
+func NewReader[T any](f Feed[T], h Handler[T], pace func() Pace) *Reader[T] {
+	return &Reader[T]{Feed: f, Handler: h, Pace: pace, kick: make(chan struct{}, 1)}
+}
+
+// Kick lets the next read happen at once.
+func (r *Reader[T]) Kick() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the feed until the context ends.
+func (r *Reader[T]) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		next, err := r.load(ctx)
+		if err == nil {
+			err = r.follow(ctx, next)
+		}
+		if errors.Is(err, ErrExpired) {
+			continue
+		}
+		if ctx.Err() == nil {
+			r.Handler.Fail(err)
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func (r *Reader[T]) load(ctx context.Context) (next uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	sent := time.Now()
+	items, next, err := r.Feed.Newest(ctx)
+	if err != nil {
+		return 0, err
+	}
+	r.Handler.Load(items, next, sent)
+	return next, nil
+}
+
+// follow reads on until records have expired. Failed reads are repeated from
+// the same offset, so nothing is loaded again after an outage.
+func (r *Reader[T]) follow(ctx context.Context, next uint64) error {
+	for ctx.Err() == nil {
+		pace := r.Pace()
+		sent := time.Now()
+		page, err := r.read(ctx, next, pace.Wait)
+		switch {
+		case errors.Is(err, ErrExpired):
+			return err
+		case err != nil:
+			if ctx.Err() == nil {
+				r.Handler.Fail(err)
+				pause(ctx, retryPause)
+			}
+			continue
+		}
+		asOf := sent
+		if len(page.Items) == 0 {
+			asOf = sent.Add(pace.Wait)
+		}
+		from := next
+		next += uint64(len(page.Items))
+		r.Handler.Take(from, page.Items, asOf, next >= page.End)
+		r.rest(ctx, pace.Interval-time.Since(sent))
+	}
+	return ctx.Err()
+}
+
+func (r *Reader[T]) read(ctx context.Context, next uint64, wait time.Duration) (Page[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerAllowance)
+	defer cancel()
+	return r.Feed.Read(ctx, next, wait)
+}
+
+func (r *Reader[T]) rest(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.kick:
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/workload/scheduler/commands.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import "daisyhead/internal/workload/tabulator"
+
+// Command is an effect that Update asks for: one of the …Cmd types.
+type Command any
+
+// ClaimCmd claims a term. The claim must only be recorded at the offset At.
+type ClaimCmd struct {
+	At   uint64
+	Term tabulator.Term
+}
+
+// AppendCmd records decisions of a term. The ledger must refuse it once a
+// higher term has been recorded, and must record a Sequence only once.
+type AppendCmd struct {
+	Term     uint64
+	Sequence uint64
+	Records  []tabulator.Record
+}
+
+// ReadCmd asks for a read of the ledger without delay.
+type ReadCmd struct{}
+
+// FollowWorkersCmd turns the reading of the list of workers on or off.
+type FollowWorkersCmd struct{ On bool }
+
+// HoldCmd extends a worker's lease, confirms its ends and fetches its report.
+type HoldCmd struct {
+	Worker   string
+	Address  string
+	Sequence uint64
+	Term     uint64
+	// ConfirmedEnd is the number up to which ends are durable.
+	ConfirmedEnd int64
+	// DeadlineMS is a time on the worker's clock; 0 extends nothing.
+	DeadlineMS int64
+	// WaitMS lets the answer wait for an end.
+	WaitMS int64
+}
+
+// StartCmd starts a task.
+type StartCmd struct {
+	Worker     string
+	Address    string
+	Task       TaskRef
+	Spec       string
+	Checkpoint string
+	DeadlineMS int64
+	Term       uint64
+}
+
+// StopCmd stops a task.
+type StopCmd struct {
+	Worker  string
+	Address string
+	Task    TaskRef
+	Term    uint64
+}
+
+// EventCmd reports a decision or a change of what the process believes. Fields
+// are alternating keys and values.
+type EventCmd struct {
+	Name   string
+	Fields []any
+}
--- /dev/null
+++ b/internal/workload/scheduler/jobs.go
@@ -0,0 +1,243 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/tabulator"
+)
+
+// job is a live job as the holder works on it.
+type job struct {
+	id  string
+	sub tabulator.Submission
+	// seenMS is when this process first saw the job.
+	seenMS      int64
+	cancelled   bool
+	over        bool
+	occurrences []*occurrence
+	// waitingFor is the latest reason for which a unit had to wait.
+	waitingFor string
+}
+
+// occurrence is one run of a job's steps.
+type occurrence struct {
+	number int
+	// dueMS is a time of day, 0 for at once.
+	dueMS int64
+	steps []*step
+	open  int
+}
+
+// step is one stage of an occurrence.
+type step struct {
+	job        *job
+	occurrence *occurrence
+	index      int
+	spec       describer.Step
+	units      []*unit
+	open       int
+}
+
+// queue returns the job's queue as it is configured now, or as it was when the
+// job was accepted.
+func (m *Model) queue(j *job) describer.Queue {
+	if q, ok := m.Config.Queue(j.sub.Queue.Name); ok {
+		return q
+	}
+	return j.sub.Queue
+}
+
+// syncJobs builds the live jobs from the table.
+func (m *Model) syncJobs() {
+	ids := make([]string, 0, len(m.Table.Jobs))
+	for id := range m.Table.Jobs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		x, y := m.Table.Jobs[a], m.Table.Jobs[b]
+		return cmp.Or(cmp.Compare(x.AcceptedMS, y.AcceptedMS), cmp.Compare(a, b))
+	})
+	for _, id := range ids {
+		m.syncJob(id)
+	}
+}
+
+// syncJob follows what callers have recorded of one job.
+func (m *Model) syncJob(id string) {
+	t, ok := m.Table.Lookup(id)
+	if !ok {
+		return
+	}
+	if t.Outcome != nil {
+		if m.jobs[id] == nil {
+			m.retain(id)
+		}
+		return
+	}
+	j, ok := m.jobs[id]
+	if !ok {
+		j = m.addJob(t)
+	}
+	if t.Cancelled && !j.cancelled {
+		m.cancelJob(j)
+	}
+}
+
+func (m *Model) retain(id string) {
+	m.ended = append(m.ended, endedJob{id: id, forgetMS: m.at.MonoMS + m.cfg.RetainMS})
+}
+
+func (m *Model) addJob(t *tabulator.Job) *job {
+	j := &job{id: t.Job.ID, sub: t.Submission, seenMS: m.at.MonoMS}
+	for k := range t.Job.Schedule.Occurrences() {
+		o := &occurrence{number: k, dueMS: t.Job.Schedule.DueMS(k), open: len(t.Job.Steps)}
+		for i, s := range t.Job.Steps {
+			o.steps = append(o.steps, newStep(j, o, i, s))
+		}
+		j.occurrences = append(j.occurrences, o)
+	}
+	m.jobs[j.id] = j
+	m.order = append(m.order, j)
+	for id, u := range t.Units {
+		m.adoptUnit(j, id, u)
+	}
+	m.dirty = true
+	m.event("JobSeen", "Job", j.id, "Queue", j.sub.Queue.Name, "Workspace", j.sub.Job.Workspace, "Units", len(t.Units), "AgeMS", m.at.WallMS-t.AcceptedMS)
+	return j
+}
+
+func newStep(j *job, o *occurrence, index int, spec describer.Step) *step {
+	s := &step{job: j, occurrence: o, index: index, spec: spec, open: spec.Count}
+	if spec.Gang {
+		s.open = 1
+	}
+	s.units = make([]*unit, s.open)
+	for i := range s.units {
+		s.units[i] = &unit{step: s, id: tabulator.UnitID{Job: j.id, Occurrence: o.number, Step: index, Index: i}}
+	}
+	return s
+}
+
+// unit returns a unit of a live job.
+func (m *Model) unit(id tabulator.UnitID) *unit {
+	j, ok := m.jobs[id.Job]
+	if !ok || id.Occurrence >= len(j.occurrences) || id.Step >= len(j.sub.Job.Steps) {
+		return nil
+	}
+	s := j.occurrences[id.Occurrence].steps[id.Step]
+	if id.Index >= len(s.units) {
+		return nil
+	}
+	return s.units[id.Index]
+}
+
+// ready reports whether the step's turn has come.
+func (s *step) ready(wallMS int64) bool {
+	if s.occurrence.dueMS > wallMS {
+		return false
+	}
+	for _, a := range s.spec.After {
+		if s.occurrence.steps[a].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// finishStepUnit counts a finished unit and completes the job with the last one.
+func (m *Model) finishStepUnit(s *step) {
+	s.open--
+	if s.open > 0 {
+		return
+	}
+	s.occurrence.open--
+	for _, o := range s.job.occurrences {
+		if o.open > 0 {
+			return
+		}
+	}
+	m.endJob(s.job, tabulator.StateCompleted, "")
+}
+
+func (m *Model) cancelJob(j *job) {
+	j.cancelled = true
+	m.event("JobCancelled", "Job", j.id)
+	m.stopJob(j, "the job was cancelled")
+	m.finishCancel(j)
+}
+
+// finishCancel ends a cancelled job once nothing of it runs.
+func (m *Model) finishCancel(j *job) {
+	if !j.cancelled || j.over {
+		return
+	}
+	for u := range j.units {
+		if len(u.runs) > 0 {
+			return
+		}
+	}
+	m.endJob(j, tabulator.StateCancelled, "")
+}
+
+func (m *Model) failJob(j *job, reason string) {
+	if j.over || j.cancelled {
+		return
+	}
+	m.endJob(j, tabulator.StateFailed, reason)
+	m.stopJob(j, "the job has failed")
+}
+
+func (m *Model) stopJob(j *job, why string) {
+	for u := range j.units {
+		m.stopUnit(u, why)
+	}
+}
+
+// units visits all units of the job.
+func (j *job) units(yield func(*unit) bool) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, u := range s.units {
+				if !yield(u) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// endJob records the outcome and forgets the units. A job with an outcome is
+// never started again, so runs that are left over are only stopped.
+func (m *Model) endJob(j *job, state tabulator.State, reason string) {
+	if j.over {
+		return
+	}
+	j.over = true
+	m.event("JobEnded", "Job", j.id, "State", state, "Reason", reason, "TookMS", m.at.WallMS-j.sub.AcceptedMS)
+	m.propose(tabulator.OutcomeRecord(j.id, tabulator.Outcome{State: state, Reason: reason, AtMS: m.at.WallMS}))
+	var ends []endRef
+	for u := range j.units {
+		ends = append(ends, u.ends...)
+		u.ends = nil
+		if u.rec.Phase != "" {
+			m.propose(tabulator.DropUnit(u.id))
+		}
+	}
+	m.confirmAfter(ends)
+	m.order = slices.DeleteFunc(m.order, func(o *job) bool { return o == j })
+	m.retain(j.id)
+	m.dirty = true
+}
+
+// forgetJobs drops ended jobs that callers may no longer ask for.
+func (m *Model) forgetJobs() {
+	for len(m.ended) > 0 && m.at.MonoMS >= m.ended[0].forgetMS {
+		for _, r := range tabulator.DropJob(m.ended[0].id) {
+			m.propose(r)
+		}
+		delete(m.jobs, m.ended[0].id)
+		m.ended = m.ended[1:]
+	}
+}
--- /dev/null
+++ b/internal/workload/scheduler/terms.go
@@ -0,0 +1,165 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"daisyhead/internal/workload/tabulator"
+)
+
+// terms is what the model knows of who decides.
+type terms struct {
+	// active is set while this process holds the term and has taken over.
+	active bool
+	// number is the term that this process holds.
+	number uint64
+	// takenMS is when the term was taken over.
+	takenMS int64
+	// silentSinceMS is when the holder last gave a sign, or when the ledger
+	// became readable again.
+	silentSinceMS int64
+	claiming      bool
+	claimedMS     int64
+	renewedMS     int64
+	renewals      uint64
+}
+
+// watchTerm claims the term when its holder has fallen silent.
+func (m *Model) watchTerm() {
+	if !m.loaded || m.leaving || m.holds() || m.terms.claiming {
+		return
+	}
+	if m.at.MonoMS-m.freshMS > silenceMS/2 || m.at.MonoMS-m.terms.claimedMS < rankDelayMS {
+		return
+	}
+	reason, due := m.claimReason()
+	if !due {
+		return
+	}
+	m.claim(reason)
+}
+
+func (m *Model) claimReason() (reason string, due bool) {
+	t := m.Table.Term
+	silent := m.at.MonoMS - m.terms.silentSinceMS
+	delay := m.rank() * rankDelayMS
+	switch {
+	case t.Number == 0:
+		return "no term yet", silent >= delay
+	case t.Released:
+		return "released by " + t.Holder, silent >= delay
+	case instanceOf(t.Holder) == m.cfg.Instance:
+		return "held by an earlier process of this instance", true
+	}
+	return "silence of " + t.Holder, silent >= silenceMS+delay
+}
+
+// rank orders the instances by power, so that the most powerful live one claims
+// first. An instance that is not recorded yet comes last.
+func (m *Model) rank() int64 {
+	names := make([]tabulator.Instance, 0, len(m.Table.Instances))
+	for _, i := range m.Table.Instances {
+		if i.Name != instanceOf(m.Table.Term.Holder) || m.Table.Term.Released {
+			names = append(names, i)
+		}
+	}
+	slices.SortFunc(names, func(a, b tabulator.Instance) int {
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Name, b.Name))
+	})
+	for i, n := range names {
+		if n.Name == m.cfg.Instance {
+			return int64(min(i, maxRank))
+		}
+	}
+	return int64(min(len(names), maxRank))
+}
+
+// maxRank bounds the delay of the last instance that may claim.
+const maxRank = 6
+
+func (m *Model) claim(reason string) {
+	m.terms.claiming, m.terms.claimedMS = true, m.at.MonoMS
+	t := tabulator.Term{Number: m.Table.Term.Number + 1, Holder: m.cfg.Holder}
+	m.event("TermClaimSent", "Term", t.Number, "Reason", reason, "Offset", m.Table.Next)
+	m.emit(ClaimCmd{At: m.Table.Next, Term: t})
+}
+
+// finishClaim reads on: only the fold tells who holds the term.
+func (m *Model) finishClaim(msg ClaimedMsg) {
+	m.terms.claiming = false
+	if msg.Err != "" {
+		m.event("TermClaimFailed", "Error", msg.Err)
+	}
+	m.emit(ReadCmd{})
+}
+
+func (m *Model) holds() bool { return m.Table.Term.Holder == m.cfg.Holder }
+
+// followTerm takes over when this process has become the holder, and steps down
+// when another has.
+func (m *Model) followTerm() {
+	switch {
+	case m.holds() && !m.terms.active && !m.leaving && m.terms.number < m.Table.Term.Number:
+		m.takeOver()
+	case !m.holds() && m.terms.active:
+		m.stepDown("term " + m.Table.Term.Holder + " was recorded")
+	}
+}
+
+func (m *Model) takeOver() {
+	m.terms.active, m.terms.number = true, m.Table.Term.Number
+	m.terms.takenMS, m.terms.renewedMS, m.terms.renewals = m.at.MonoMS, m.at.MonoMS, 0
+	m.proposer = proposer{sequence: 1}
+	m.workers, m.jobs, m.order, m.ended = map[string]*worker{}, map[string]*job{}, nil, nil
+	m.event("TermTaken", "Term", m.terms.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
+	m.emit(FollowWorkersCmd{On: true})
+	m.syncJobs()
+	m.dirty = true
+}
+
+func (m *Model) stepDown(reason string) {
+	m.terms.active = false
+	m.workers, m.jobs, m.order = map[string]*worker{}, map[string]*job{}, nil
+	m.proposer = proposer{}
+	m.event("TermLost", "Term", m.terms.number, "Reason", reason)
+	m.emit(FollowWorkersCmd{On: false})
+	m.emit(ReadCmd{})
+}
+
+func (m *Model) renewTerm() {
+	if m.at.MonoMS-m.terms.renewedMS < renewMS {
+		return
+	}
+	m.terms.renewedMS = m.at.MonoMS
+	m.terms.renewals++
+	m.propose(tabulator.TermRecord(tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Renewals: m.terms.renewals}))
+}
+
+// leave hands the term over: it is released once all earlier decisions are
+// recorded, and nothing new is decided.
+func (m *Model) leave() {
+	if m.leaving {
+		return
+	}
+	m.leaving = true
+	if !m.terms.active {
+		return
+	}
+	m.propose(tabulator.TermRecord(tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Released: true}))
+	m.event("TermReleased", "Term", m.terms.number)
+}
+
+// sure reports whether the ledger has confirmed the term recently enough to
+// extend leases and to start tasks.
+func (m *Model) sure() bool {
+	return m.at.MonoMS-max(m.freshMS, m.proposer.confirmedMS) <= blindMS
+}
+
+func instanceOf(holder string) string {
+	for i := len(holder) - 1; i >= 0; i-- {
+		if holder[i] == '/' {
+			return holder[:i]
+		}
+	}
+	return holder
+}
