Let the holder write callers' records with its decisions, hand the term over at once

With a slow platform nine instances' appends queued in one partition and fixed time limits of 700 ms repeated them.

Change: callers' records go to the holder, which writes them with its decisions in one append, or directly if it is out of reach; the time limit of appends follows their latency; a released term ends the holder's work; claims pause after failures.

Ruled out: more partitions (the order of records would be lost), longer fixed limits (lost answers would stall the holder).

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -84,6 +84,7 @@
 	catalog  *follower.Catalog
 	roster   *rosterSwitch
 	acceptor *acceptor.Acceptor
+	storer   *storer
 	meter    *meter
 	status   status
 }
@@ -102,8 +103,9 @@
 	n.ledger = follower.NewReader(p.Ledger, &follower.LedgerHandler{Sink: n.loop, Reporter: p.Reporter, Start: n.start}, n.ledgerPace)
 	n.catalog = &follower.Catalog{Sink: n.loop, Reporter: p.Reporter}
 	n.roster = &rosterSwitch{feed: p.Workers, handler: &follower.Roster{Sink: n.loop, Reporter: p.Reporter}}
+	n.storer = &storer{node: n}
 	n.acceptor = &acceptor.Acceptor{
-		Jobs: jobs{n}, Ledger: n.writer, Catalog: n.catalog, Peers: p.Peers, Reporter: p.Reporter,
+		Jobs: jobs{n}, Ledger: n.storer, Catalog: n.catalog, Peers: p.Peers, Reporter: p.Reporter,
 		ConfigFresh: s.ConfigDeadline * 3 / 4, TableFresh: s.Visible / 2,
 	}
 	return n
@@ -155,7 +157,7 @@
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
 	listen = append(listen,
-		Listener{Name: "Peers", Address: n.settings.Peer, Handler: forwarder.Handler(n)},
+		Listener{Name: "Peers", Address: n.settings.Peer, Handler: forwarder.Handler(n, n.storer)},
 		Listener{Name: "Metrics", Address: n.settings.Metrics, Handler: n.meter.handler()})
 	servers, err := n.serve(group, listen)
 	if err != nil {
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -35,6 +35,8 @@
 		n.meter.events.WithLabelValues(c.Name).Inc()
 	case scheduler.ReadCmd:
 		n.ledger.Kick()
+	case scheduler.StoredCmd:
+		n.storer.answer(c)
 	case scheduler.FollowWorkersCmd:
 		n.status.deciding.Store(c.On)
 		n.roster.set(c.On)
--- /dev/null
+++ b/internal/workload/assembler/storer.go
@@ -0,0 +1,118 @@
+package assembler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisyhead/internal/workload/follower"
+	"daisyhead/internal/workload/scheduler"
+	"daisyhead/internal/workload/tabulator"
+)
+
+// holderTimeout bounds the holder's answer before an instance writes itself. A
+// record that is written twice counts once.
+const holderTimeout = 600 * time.Millisecond
+
+// errNotHolder tells that nothing was written: the instance does not decide.
+var errNotHolder = errors.Wrap(follower.ErrNotWritten, "this instance does not decide")
+
+// storer writes callers' records: through the holder, which writes them
+// together with its decisions, or directly if the holder is out of reach.
+type storer struct {
+	node *Node
+
+	mu      sync.Mutex
+	ticket  uint64
+	waiting map[uint64]chan scheduler.StoreResult
+}
+
+// Append implements acceptor.Ledger.
+func (s *storer) Append(ctx context.Context, r tabulator.Record) error {
+	err := s.throughHolder(ctx, r)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	if direct := s.node.writer.Append(ctx, r); direct != nil {
+		return worse(err, direct)
+	}
+	return nil
+}
+
+// worse keeps the doubt of two failed attempts: nothing was written only if
+// both are sure of it.
+func worse(a, b error) error {
+	if errors.Is(b, follower.ErrNotWritten) {
+		return a
+	}
+	return b
+}
+
+func (s *storer) throughHolder(ctx context.Context, r tabulator.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	if s.node.status.deciding.Load() {
+		return s.Store(ctx, r)
+	}
+	address := ""
+	s.node.loop.Inspect(ctx, func(m *scheduler.Model) { address = m.HolderAddress() })
+	if address == "" || address == s.node.settings.Peer {
+		return errNotHolder
+	}
+	return s.node.ports.Peers.Store(ctx, address, r)
+}
+
+// Store hands a record to this instance's control loop.
+func (s *storer) Store(ctx context.Context, r tabulator.Record) error {
+	ticket, answer := s.register()
+	defer s.unregister(ticket)
+	if !s.node.loop.Send(scheduler.StoreMsg{Ticket: ticket, Record: r}) {
+		return errNotHolder
+	}
+	select {
+	case result := <-answer:
+		return storeError(result)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func storeError(r scheduler.StoreResult) error {
+	switch r {
+	case scheduler.StoreDone:
+		return nil
+	case scheduler.StoreNotHolder:
+		return errNotHolder
+	}
+	return errors.New("the term was lost while the record was written")
+}
+
+func (s *storer) register() (ticket uint64, answer chan scheduler.StoreResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting == nil {
+		s.waiting = map[uint64]chan scheduler.StoreResult{}
+	}
+	s.ticket++
+	answer = make(chan scheduler.StoreResult, 1)
+	s.waiting[s.ticket] = answer
+	return s.ticket, answer
+}
+
+func (s *storer) unregister(ticket uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, ticket)
+}
+
+// answer passes a StoredCmd to whoever waits for it.
+func (s *storer) answer(c scheduler.StoredCmd) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w, ok := s.waiting[c.Ticket]; ok {
+		w <- c.Result
+		delete(s.waiting, c.Ticket)
+	}
+}
--- a/internal/workload/follower/ledger.go
+++ b/internal/workload/follower/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,15 +32,58 @@
 	ClaimTerm(ctx context.Context, at, term uint64, record tabulator.Record) error
 }
 
+// Bounds of the time in which an append must be answered. An append without an
+// answer is repeated, so a lost answer should be given up early; a slow platform
+// should not be pressed with repetitions.
 const (
-	// appendTimeout bounds one append: 50 times the usual one.
-	appendTimeout = 700 * time.Millisecond
+	// minAppendTimeout is 30 times the usual answer.
+	minAppendTimeout = 300 * time.Millisecond
+	// maxAppendTimeout is the longest that the platform lets an append wait.
+	maxAppendTimeout = 2400 * time.Millisecond
+	// appendTimeoutFactor times the latest answer is waited for the next one.
+	appendTimeoutFactor = 5
 )
 
+// patience adapts the time limit of appends to how long they take.
+type patience struct {
+	mu    sync.Mutex
+	limit time.Duration
+}
+
+func (p *patience) timeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(p.limit, minAppendTimeout), maxAppendTimeout)
+}
+
+// learn takes the outcome of one append.
+func (p *patience) learn(took time.Duration, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if errors.Is(err, context.DeadlineExceeded) {
+		p.limit = min(2*max(p.limit, minAppendTimeout), maxAppendTimeout)
+		return
+	}
+	if err == nil {
+		p.limit = appendTimeoutFactor * took
+	}
+}
+
+// try runs one append within the time limit.
+func (p *patience) try(ctx context.Context, appending func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout())
+	defer cancel()
+	began := time.Now()
+	err := appending(ctx)
+	p.learn(time.Since(began), err)
+	return err
+}
+
 // Writer writes to the ledger for the control loop and for callers.
 type Writer struct {
-	ledger Ledger
-	queue  chan pendingAppend
+	ledger   Ledger
+	queue    chan pendingAppend
+	patience patience
 }
 
 type pendingAppend struct {
@@ -85,13 +129,11 @@
 }
 
 func (w *Writer) write(ctx context.Context, group []pendingAppend) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	records := make([]tabulator.Record, len(group))
 	for i, p := range group {
 		records[i] = p.record
 	}
-	err := w.ledger.Append(ctx, records)
+	err := w.patience.try(ctx, func(ctx context.Context) error { return w.ledger.Append(ctx, records) })
 	for _, p := range group {
 		p.done <- err
 	}
@@ -116,9 +158,10 @@
 
 // Claim carries out a ClaimCmd.
 func (w *Writer) Claim(ctx context.Context, c scheduler.ClaimCmd) scheduler.ClaimedMsg {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	if err := w.ledger.ClaimTerm(ctx, c.At, c.Term.Number, tabulator.TermRecord(c.Term)); err != nil {
+	err := w.patience.try(ctx, func(ctx context.Context) error {
+		return w.ledger.ClaimTerm(ctx, c.At, c.Term.Number, tabulator.TermRecord(c.Term))
+	})
+	if err != nil {
 		return scheduler.ClaimedMsg{Err: err.Error()}
 	}
 	return scheduler.ClaimedMsg{}
@@ -126,10 +169,10 @@
 
 // Decide carries out an AppendCmd.
 func (w *Writer) Decide(ctx context.Context, c scheduler.AppendCmd) scheduler.AppendedMsg {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	msg := scheduler.AppendedMsg{Term: c.Term, Sequence: c.Sequence, Result: scheduler.AppendDone}
-	err := w.ledger.AppendInTerm(ctx, c.Term, c.Sequence, c.Records)
+	err := w.patience.try(ctx, func(ctx context.Context) error {
+		return w.ledger.AppendInTerm(ctx, c.Term, c.Sequence, c.Records)
+	})
 	switch {
 	case errors.Is(err, ErrFenced):
 		msg.Result, msg.Err = scheduler.AppendFenced, err.Error()
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -13,14 +13,20 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"daisyhead/internal/workload/acceptor"
+	"daisyhead/internal/workload/follower"
+	"daisyhead/internal/workload/tabulator"
 )
 
 // Path is where peers take calls.
 const Path = "/v1/calls"
 
+// recordsPath is where the holder takes callers' records.
+const recordsPath = "/v1/records"
+
 const (
 	// maxTries bounds the peers that are asked for one call.
 	maxTries = 3
@@ -84,27 +90,62 @@
 func (f *Forwarder) try(ctx context.Context, address string, c acceptor.Call) (a acceptor.Answer, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	var wrote atomic.Bool
-	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
-	data, err := cbor.Marshal(c)
+	sent, err = f.post(ctx, address, Path, c, &a)
+	return a, sent, err
+}
+
+// storeReply tells the outcome of a record that a peer was asked to write.
+type storeReply struct {
+	Written bool
+	// Doubt is set if the record may have been written all the same.
+	Doubt  bool   `cbor:",omitempty"`
+	Reason string `cbor:",omitempty"`
+}
+
+// Store lets the instance at an address write a record. Errors other than
+// follower.ErrNotWritten leave open whether it did.
+func (f *Forwarder) Store(ctx context.Context, address string, r tabulator.Record) error {
+	var reply storeReply
+	sent, err := f.post(ctx, address, recordsPath, r, &reply)
+	switch {
+	case err != nil && !sent:
+		return errors.Wrapf(follower.ErrNotWritten, "peer %s: %v", address, err)
+	case err != nil:
+		return errors.Wrapf(err, "peer %s", address)
+	case reply.Written:
+		return nil
+	case reply.Doubt:
+		return errors.Newf("peer %s: %s", address, reply.Reason)
+	}
+	return errors.Wrapf(follower.ErrNotWritten, "peer %s: %s", address, reply.Reason)
+}
+
+// post sends one message and reads the reply. sent tells whether the peer may
+// have received it.
+func (f *Forwarder) post(ctx context.Context, address, path string, msg, reply any) (sent bool, err error) {
+	var connected atomic.Bool
+	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	data, err := cbor.Marshal(msg)
 	if err != nil {
-		return a, false, err
+		return false, err
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, &trace), http.MethodPost, "http://"+address+Path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, &trace), http.MethodPost, "http://"+address+path, bytes.NewReader(data))
 	if err != nil {
-		return a, false, err
+		return false, err
 	}
 	resp, err := f.client.Do(req)
 	if err != nil {
-		return a, wrote.Load(), err
+		return connected.Load(), err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBytes))
 	if err != nil {
-		return a, true, err
+		return true, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return true, errors.Newf("status %d", resp.StatusCode)
 	}
-	err = cbor.Unmarshal(body, &a)
-	return a, true, err
+	return true, cbor.Unmarshal(body, reply)
 }
 
 // Answerer answers calls.
@@ -112,27 +153,57 @@
 	Answer(ctx context.Context, c acceptor.Call) acceptor.Answer
 }
 
-// Handler takes calls from peers.
-func Handler(a Answerer) http.Handler {
+// Storer writes records if this instance decides.
+type Storer interface {
+	Store(ctx context.Context, r tabulator.Record) error
+}
+
+// Handler takes calls and records from peers.
+func Handler(a Answerer, s Storer) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+Path, func(w http.ResponseWriter, r *http.Request) {
 		var c acceptor.Call
-		data, err := io.ReadAll(io.LimitReader(r.Body, maxCallBytes))
-		if err == nil {
-			err = cbor.Unmarshal(data, &c)
+		if receive(w, r, &c) {
+			c.Forwarded = true
+			reply(w, a.Answer(r.Context(), c))
 		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		c.Forwarded = true
-		answer, err := cbor.Marshal(a.Answer(r.Context(), c))
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
+	})
+	mux.HandleFunc("POST "+recordsPath, func(w http.ResponseWriter, r *http.Request) {
+		var record tabulator.Record
+		if receive(w, r, &record) {
+			reply(w, store(r.Context(), s, record))
 		}
-		// A peer that has gone away counts the call as unanswered.
-		_, _ = w.Write(answer)
 	})
 	return mux
 }
+
+func store(ctx context.Context, s Storer, r tabulator.Record) storeReply {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	err := s.Store(ctx, r)
+	if err == nil {
+		return storeReply{Written: true}
+	}
+	return storeReply{Doubt: !errors.Is(err, follower.ErrNotWritten), Reason: err.Error()}
+}
+
+func receive(w http.ResponseWriter, r *http.Request, msg any) bool {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxCallBytes))
+	if err == nil {
+		err = cbor.Unmarshal(data, msg)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func reply(w http.ResponseWriter, msg any) {
+	data, err := cbor.Marshal(msg)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// A peer that has gone away counts the message as unanswered.
+	_, _ = w.Write(data)
+}
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -58,6 +58,24 @@
 	Term    uint64
 }
 
+// StoreResult is what became of a StoreMsg.
+type StoreResult string
+
+// The results of a StoreMsg.
+const (
+	StoreDone StoreResult = "Done"
+	// StoreNotHolder tells that nothing was written: another instance decides.
+	StoreNotHolder StoreResult = "NotHolder"
+	// StoreUnknown tells that the record may have been written.
+	StoreUnknown StoreResult = "Unknown"
+)
+
+// StoredCmd answers a StoreMsg.
+type StoredCmd struct {
+	Ticket uint64
+	Result StoreResult
+}
+
 // EventCmd reports a decision or a change of what the process believes. Fields
 // are alternating keys and values.
 type EventCmd struct {
--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -125,6 +125,7 @@
 		t.Run(f.name, func(t *testing.T) {
 			w := newWorld(t, 1, 3)
 			w.addWorkers(2, 3)
+			w.traceJob(*traced)
 			w.startAll()
 			w.run(3000)
 			if w.holder() == nil {
@@ -153,6 +154,36 @@
 	traced    = flag.String("traced", "", "job whose events are printed")
 )
 
+// handOverMS is the time in which a released term has to be taken: well within
+// the pause that a caller makes between two tries.
+const handOverMS = 600
+
+// TestHandOver lets the holder leave on purpose while tasks run and more jobs
+// come.
+func TestHandOver(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.addWorkers(2, 3)
+	w.startAll()
+	w.run(3000)
+	w.submit("urgent", "a", jobA, gang(3, 8, 4000))
+	w.run(4000)
+	left := w.holder()
+	left.send(scheduler.LeaveMsg{})
+	w.submit("batch", "b", jobB, tasks(5, 1, 2000))
+	w.run(4000 + handOverMS)
+	if h := w.holder(); h == nil || h == left {
+		t.Fatalf("nobody has taken the released term after %d ms", handOverMS)
+	}
+	w.run(20000)
+	got := map[string]tabulator.State{jobA: w.state(jobA), jobB: w.state(jobB)}
+	if diff := cmp.Diff(bothCompleted(), got); diff != "" {
+		t.Errorf("states (-want +got):\n%s", diff)
+	}
+	if w.judge.starts != 8 {
+		t.Errorf("%d starts, want 8: the hand-over started something again", w.judge.starts)
+	}
+}
+
 // TestSchedule puts random jobs and random faults together. More seeds are
 // played by
 //
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -78,7 +78,7 @@
 	}
 	j, ok := m.jobs[id]
 	if !ok {
-		j = m.addJob(t)
+		j = m.addJob(t.Submission, t.Units)
 	}
 	if t.Cancelled && !j.cancelled {
 		m.cancelJob(j)
@@ -89,25 +89,36 @@
 	m.ended = append(m.ended, endedJob{id: id, forgetMS: m.at.MonoMS + m.cfg.RetainMS})
 }
 
-func (m *Model) addJob(t *tabulator.Job) *job {
-	j := &job{id: t.Job.ID, sub: t.Submission, seenMS: m.at.MonoMS}
-	for k := range t.Job.Schedule.Occurrences() {
-		o := &occurrence{number: k, dueMS: t.Job.Schedule.DueMS(k), open: len(t.Job.Steps)}
-		for i, s := range t.Job.Steps {
+func (m *Model) addJob(sub tabulator.Submission, units map[tabulator.UnitID]tabulator.Unit) *job {
+	j := &job{id: sub.Job.ID, sub: sub, seenMS: m.at.MonoMS}
+	for k := range sub.Job.Schedule.Occurrences() {
+		o := &occurrence{number: k, dueMS: sub.Job.Schedule.DueMS(k), open: len(sub.Job.Steps)}
+		for i, s := range sub.Job.Steps {
 			o.steps = append(o.steps, newStep(j, o, i, s))
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
 	m.jobs[j.id] = j
 	m.order = append(m.order, j)
-	for id, u := range t.Units {
-		m.adoptUnit(j, id, u)
+	for _, id := range sortedUnits(units) {
+		m.adoptUnit(j, id, units[id])
 	}
 	m.dirty = true
-	m.event("JobSeen", "Job", j.id, "Queue", j.sub.Queue.Name, "Workspace", j.sub.Job.Workspace, "Units", len(t.Units), "AgeMS", m.at.WallMS-t.AcceptedMS)
+	m.event("JobSeen", "Job", j.id, "Queue", j.sub.Queue.Name, "Workspace", j.sub.Job.Workspace, "Units", len(units), "AgeMS", m.at.WallMS-sub.AcceptedMS)
 	return j
 }
 
+func sortedUnits(units map[tabulator.UnitID]tabulator.Unit) []tabulator.UnitID {
+	ids := make([]tabulator.UnitID, 0, len(units))
+	for id := range units {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b tabulator.UnitID) int {
+		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+	return ids
+}
+
 func newStep(j *job, o *occurrence, index int, spec describer.Step) *step {
 	s := &step{job: j, occurrence: o, index: index, spec: spec, open: spec.Count}
 	if spec.Gang {
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -161,6 +161,13 @@
 	Err    string
 }
 
+// StoreMsg asks the holder to record what a caller wants. The answer is a
+// StoredCmd with the same ticket.
+type StoreMsg struct {
+	Ticket uint64
+	Record tabulator.Record
+}
+
 // LeaveMsg starts a graceful shutdown: the term is released.
 type LeaveMsg struct{}
 
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -43,9 +43,10 @@
 	// term: three renewals.
 	silenceMS = 1500
 	renewMS   = 500
-	// rankDelayMS keeps instances from claiming at the same moment; an append
-	// takes about 10 ms and a paced read 200 ms.
-	rankDelayMS = 250
+	// rankDelayMS keeps instances from claiming at the same moment: two ticks.
+	rankDelayMS = 100
+	// claimPauseMS is the pause after a claim that failed.
+	claimPauseMS = 300
 	// blindMS is how long a holder goes on without word from the ledger that
 	// the term is still its own. A successor waits it out for workers that it
 	// can't reach.
@@ -93,6 +94,8 @@
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
+	// storing are the tickets of records that are not durable yet.
+	storing map[uint64]bool
 	// order lists the live jobs in order of acceptance.
 	order  []*job
 	dirty  bool
@@ -112,7 +115,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: tabulator.New(), Config: &describer.Configuration{}, cfg: cfg,
-		freshMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{},
+		freshMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{}, storing: map[uint64]bool{},
 	}
 }
 
@@ -160,17 +163,31 @@
 		m.finishClaim(msg)
 	case AppendedMsg:
 		m.finishAppend(msg)
+	case HeldMsg, StartedMsg, StoppedMsg:
+		m.finishOrder(msg)
+	case StoreMsg:
+		m.store(msg)
+	case LeaveMsg:
+		m.leave()
+	case InspectMsg:
+		msg.Read(m)
+		close(msg.Done)
+	}
+}
+
+// finishOrder takes the answer to an order, unless the term is being released:
+// the successor asks the workers itself.
+func (m *Model) finishOrder(msg Msg) {
+	if !m.deciding() {
+		return
+	}
+	switch msg := msg.(type) {
 	case HeldMsg:
 		m.finishHold(msg)
 	case StartedMsg:
 		m.finishStart(msg)
 	case StoppedMsg:
 		m.finishStop(msg)
-	case LeaveMsg:
-		m.leave()
-	case InspectMsg:
-		msg.Read(m)
-		close(msg.Done)
 	}
 }
 
--- a/internal/workload/scheduler/proposer.go
+++ b/internal/workload/scheduler/proposer.go
@@ -82,7 +82,9 @@
 		p.sequence++
 		p.sent, p.sentAcks = nil, nil
 		for _, ack := range acks {
-			ack(m)
+			if m.terms.active {
+				ack(m)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/workload/scheduler/storing.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"slices"
+
+	"daisyhead/internal/workload/tabulator"
+)
+
+// store records what a caller wants together with what is decided about it, so
+// that a job needs one append and not two to be accepted and placed.
+func (m *Model) store(msg StoreMsg) {
+	if !m.deciding() {
+		m.emit(StoredCmd{Ticket: msg.Ticket, Result: StoreNotHolder})
+		return
+	}
+	if m.stored(msg.Record) {
+		m.emit(StoredCmd{Ticket: msg.Ticket, Result: StoreDone})
+		return
+	}
+	m.storing[msg.Ticket] = true
+	m.propose(msg.Record, func(m *Model) {
+		delete(m.storing, msg.Ticket)
+		m.emit(StoredCmd{Ticket: msg.Ticket, Result: StoreDone})
+	})
+	m.addStored(msg.Record)
+}
+
+// stored reports whether the record would change nothing.
+func (m *Model) stored(r tabulator.Record) bool {
+	id, _ := tabulator.JobOf(r)
+	j, known := m.Table.Lookup(id)
+	return known && (tabulator.IsSubmission(r) || j.Cancelled)
+}
+
+// addStored goes on with a job before its record is read back.
+func (m *Model) addStored(r tabulator.Record) {
+	id, _ := tabulator.JobOf(r)
+	s, ok := tabulator.DecodeSubmission(r)
+	switch {
+	case !ok && m.jobs[id] != nil:
+		// The cancellation holds once it is durable.
+		m.proposer.queuedAcks = append(m.proposer.queuedAcks, func(m *Model) { m.cancelStored(id) })
+	case ok && m.jobs[id] == nil:
+		m.addJob(s, nil)
+	}
+}
+
+func (m *Model) cancelStored(id string) {
+	if j := m.jobs[id]; j != nil && !j.cancelled && !j.over {
+		m.cancelJob(j)
+	}
+}
+
+// abandonStoring answers callers whose records may or may not become durable.
+func (m *Model) abandonStoring() {
+	tickets := make([]uint64, 0, len(m.storing))
+	for t := range m.storing {
+		tickets = append(tickets, t)
+	}
+	slices.Sort(tickets)
+	for _, t := range tickets {
+		m.emit(StoredCmd{Ticket: t, Result: StoreUnknown})
+	}
+	m.storing = map[uint64]bool{}
+}
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -19,9 +19,10 @@
 	// became readable again.
 	silentSinceMS int64
 	claiming      bool
-	claimedMS     int64
-	renewedMS     int64
-	renewals      uint64
+	// claimAgainMS is when the next claim may be sent.
+	claimAgainMS int64
+	renewedMS    int64
+	renewals     uint64
 }
 
 // watchTerm claims the term when its holder has fallen silent.
@@ -29,7 +30,7 @@
 	if !m.loaded || m.leaving || m.holds() || m.terms.claiming {
 		return
 	}
-	if m.at.MonoMS-m.freshMS > silenceMS/2 || m.at.MonoMS-m.terms.claimedMS < rankDelayMS {
+	if m.at.MonoMS-m.freshMS > silenceMS/2 || m.at.MonoMS < m.terms.claimAgainMS {
 		return
 	}
 	reason, due := m.claimReason()
@@ -59,7 +60,7 @@
 func (m *Model) rank() int64 {
 	names := make([]tabulator.Instance, 0, len(m.Table.Instances))
 	for _, i := range m.Table.Instances {
-		if i.Name != instanceOf(m.Table.Term.Holder) || m.Table.Term.Released {
+		if i.Name != instanceOf(m.Table.Term.Holder) {
 			names = append(names, i)
 		}
 	}
@@ -78,7 +79,7 @@
 const maxRank = 6
 
 func (m *Model) claim(reason string) {
-	m.terms.claiming, m.terms.claimedMS = true, m.at.MonoMS
+	m.terms.claiming = true
 	t := tabulator.Term{Number: m.Table.Term.Number + 1, Holder: m.cfg.Holder}
 	m.event("TermClaimSent", "Term", t.Number, "Reason", reason, "Offset", m.Table.Next)
 	m.emit(ClaimCmd{At: m.Table.Next, Term: t})
@@ -86,7 +87,7 @@
 
 // finishClaim reads on: only the fold tells who holds the term.
 func (m *Model) finishClaim(msg ClaimedMsg) {
-	m.terms.claiming = false
+	m.terms.claiming, m.terms.claimAgainMS = false, m.at.MonoMS+claimPauseMS
 	if msg.Err != "" {
 		m.event("TermClaimFailed", "Error", msg.Err)
 	}
@@ -95,6 +96,15 @@
 
 func (m *Model) holds() bool { return m.Table.Term.Holder == m.cfg.Holder }
 
+// HolderAddress returns where the holder's peers reach it, or "" if nobody
+// decides.
+func (m *Model) HolderAddress() string {
+	if m.Table.Term.Released {
+		return ""
+	}
+	return m.Table.Instances[instanceOf(m.Table.Term.Holder)].Address
+}
+
 // followTerm takes over when this process has become the holder, and steps down
 // when another has.
 func (m *Model) followTerm() {
@@ -121,6 +131,7 @@
 	m.terms.active = false
 	m.workers, m.fleet, m.jobs, m.order = map[string]*worker{}, nil, map[string]*job{}, nil
 	m.proposer = proposer{}
+	m.abandonStoring()
 	m.event("TermLost", "Term", m.terms.number, "Reason", reason)
 	m.emit(FollowWorkersCmd{On: false})
 	m.emit(ReadCmd{})
@@ -145,7 +156,8 @@
 	if !m.terms.active {
 		return
 	}
-	m.propose(tabulator.TermRecord(tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Released: true}))
+	released := tabulator.TermRecord(tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Released: true})
+	m.propose(released, func(m *Model) { m.stepDown("released") })
 	m.event("TermReleased", "Term", m.terms.number)
 }
 
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -191,7 +191,7 @@
 
 func (m *Model) finishStart(msg StartedMsg) {
 	r := m.findRun(msg.Worker, msg.Task)
-	if r == nil || !m.terms.active {
+	if r == nil {
 		return
 	}
 	r.busy = false
@@ -220,7 +220,7 @@
 
 func (m *Model) finishStop(msg StoppedMsg) {
 	r := m.findRun(msg.Worker, msg.Task)
-	if r == nil || !m.terms.active {
+	if r == nil {
 		return
 	}
 	r.busy = false
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/tabulator"
 )
 
 // worker is what the holder knows of one worker in its own term.
@@ -137,7 +138,7 @@
 
 func (m *Model) finishHold(msg HeldMsg) {
 	w, ok := m.workers[msg.Worker]
-	if !ok || msg.Sequence != w.sequence || !m.terms.active {
+	if !ok || msg.Sequence != w.sequence {
 		return
 	}
 	w.inFlight = false
@@ -216,13 +217,26 @@
 // resolve names the unit of a reported task: workers know tasks only, and all
 // tasks of a gang belong to its one unit.
 func (m *Model) resolve(ref TaskRef) TaskRef {
-	j, ok := m.Table.Lookup(ref.Unit.Job)
-	if ok && ref.Unit.Step < len(j.Job.Steps) && j.Job.Steps[ref.Unit.Step].Gang {
+	if s, ok := m.stepOf(ref.Unit); ok && s.Gang {
 		ref.Unit.Index = 0
 	}
 	return ref
 }
 
+// stepOf returns the step that a unit belongs to.
+func (m *Model) stepOf(id tabulator.UnitID) (s describer.Step, ok bool) {
+	var steps []describer.Step
+	if j, live := m.jobs[id.Job]; live {
+		steps = j.sub.Job.Steps
+	} else if j, known := m.Table.Lookup(id.Job); known {
+		steps = j.Job.Steps
+	}
+	if id.Step >= len(steps) {
+		return s, false
+	}
+	return steps[id.Step], true
+}
+
 // takeRunning holds one running task against what was ordered.
 func (m *Model) takeRunning(w *worker, p RunReport) {
 	r := w.runs.get(p.Task)
@@ -248,8 +262,8 @@
 // stopStray stops a run that nobody wants any more. It takes room until then.
 func (m *Model) stopStray(w *worker, p RunReport) {
 	r := &run{ref: p.Task, worker: w, state: runStopping}
-	if j, ok := m.Table.Lookup(p.Task.Unit.Job); ok && p.Task.Unit.Step < len(j.Job.Steps) {
-		r.need = j.Job.Steps[p.Task.Unit.Step].Reserved()
+	if s, ok := m.stepOf(p.Task.Unit); ok {
+		r.need = s.Reserved()
 	}
 	w.runs.add(r)
 	m.event("StrayRun", "Job", p.Task.Unit.Job, "Unit", p.Task.Unit.String(), "Run", p.Task.Run, "Worker", w.ID)
@@ -377,6 +391,9 @@
 			continue
 		}
 		r.settledMS = 0
+		if r.state == runRefused {
+			r.state = runStopping
+		}
 	}
 	for _, r := range runs {
 		if r.unit != nil {
--- a/internal/workload/scheduler/world_test.go
+++ b/internal/workload/scheduler/world_test.go
@@ -131,7 +131,7 @@
 // submit stores a job as any instance would.
 func (w *world) submit(queue, workspace, id string, steps ...describer.Step) {
 	q, _ := w.config.Queue(queue)
-	w.ledger.records = append(w.ledger.records, tabulator.SubmissionRecord(tabulator.Submission{
+	w.store(tabulator.SubmissionRecord(tabulator.Submission{
 		Job:   describer.Job{ID: id, Workspace: workspace, Queue: queue, Spec: "x", Steps: steps},
 		Queue: q, AcceptedMS: wallStartMS + w.nowMS,
 	}))
@@ -139,10 +139,19 @@
 }
 
 func (w *world) cancel(id string) {
-	w.ledger.records = append(w.ledger.records, tabulator.CancelRecord(id, tabulator.Cancel{AtMS: wallStartMS + w.nowMS}))
+	w.store(tabulator.CancelRecord(id, tabulator.Cancel{AtMS: wallStartMS + w.nowMS}))
 	w.judge.submitted[id].cancelledMS = w.nowMS
 }
 
+// store writes a caller's record: now and then through the holder as well,
+// whose record then comes second and changes nothing.
+func (w *world) store(r tabulator.Record) {
+	if h := w.holder(); h != nil && w.rng.IntN(2) == 0 {
+		h.send(scheduler.StoreMsg{Ticket: uint64(w.nowMS), Record: r})
+	}
+	w.ledger.records = append(w.ledger.records, r)
+}
+
 // state returns what the ledger tells of a job.
 func (w *world) state(id string) tabulator.State {
 	t := tabulator.New()
@@ -320,7 +329,7 @@
 		if w.trace != nil {
 			w.trace(i.name, c)
 		}
-	case scheduler.ReadCmd:
+	case scheduler.ReadCmd, scheduler.StoredCmd:
 	case scheduler.FollowWorkersCmd:
 		i.listing = c.On
 	case scheduler.ClaimCmd:
--- a/internal/workload/tabulator/records.go
+++ b/internal/workload/tabulator/records.go
@@ -193,3 +193,15 @@
 	kind, id, _ := strings.Cut(r.Key, "/")
 	return id, kind == kindSubmission || kind == kindCancel
 }
+
+// IsSubmission reports whether the record hands a job in.
+func IsSubmission(r Record) bool { return strings.HasPrefix(r.Key, kindSubmission+"/") }
+
+// DecodeSubmission reads a record that hands a job in.
+func DecodeSubmission(r Record) (s Submission, ok bool) {
+	if !IsSubmission(r) {
+		return s, false
+	}
+	err := cbor.Unmarshal(r.Value, &s)
+	return s, err == nil
+}
--- a/internal/workload/tabulator/table.go
+++ b/internal/workload/tabulator/table.go
@@ -63,7 +63,7 @@
 	kind, name, _ := strings.Cut(r.Key, "/")
 	switch kind {
 	case keyTerm:
-		return decode(r, &t.Term)
+		return t.applyTerm(r)
 	case kindInstance:
 		return t.applyInstance(name, r)
 	case kindSubmission, kindCancel, kindOutcome:
@@ -74,6 +74,15 @@
 	return errors.Wrapf(ErrUnreadable, "key %q", r.Key)
 }
 
+func (t *Table) applyTerm(r Record) error {
+	var next Term
+	if err := decode(r, &next); err != nil {
+		return err
+	}
+	t.Term = next
+	return nil
+}
+
 func (t *Table) applyInstance(name string, r Record) error {
 	if len(r.Value) == 0 {
 		delete(t.Instances, name)
