Hand the term over in the record that releases it

Change: the leaving holder names the most powerful, last started instance as the next holder in its last record; records wait for the next holder before they are written directly.

Ruled out: a shorter delay between claims (more of them collide).

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -85,15 +85,17 @@
 	roster   *rosterSwitch
 	acceptor *acceptor.Acceptor
 	storer   *storer
-	meter    *meter
-	status   status
+	// holder names this process in terms.
+	holder string
+	meter  *meter
+	status status
 }
 
 // New returns an instance that is not running yet.
 func New(s Settings, p Ports) *Node {
-	n := &Node{settings: s, ports: p, start: time.Now(), meter: newMeter()}
+	n := &Node{settings: s, ports: p, start: time.Now(), meter: newMeter(), holder: s.Instance + "/" + uuid.NewString()}
 	model := scheduler.New(scheduler.Config{
-		Instance: s.Instance, Holder: s.Instance + "/" + uuid.NewString(), Power: s.Power, LeaseMS: s.Lease.Milliseconds(),
+		Instance: s.Instance, Holder: n.holder, Power: s.Power, LeaseMS: s.Lease.Milliseconds(),
 		GangMS: s.GangWait.Milliseconds(), StopMS: s.StopTime.Milliseconds(), RetainMS: s.Retain.Milliseconds(), SpreadFactor: s.SpreadFactor,
 	})
 	n.loop = scheduler.NewLoop(model, n.start)
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -152,7 +152,7 @@
 
 // register tells the other instances where this one is.
 func (n *Node) register(ctx context.Context) {
-	record := tabulator.InstanceRecord(tabulator.Instance{Name: n.settings.Instance, Address: n.settings.Peer, Power: n.settings.Power})
+	record := tabulator.InstanceRecord(tabulator.Instance{Name: n.settings.Instance, Holder: n.holder, Address: n.settings.Peer, Power: n.settings.Power})
 	for ctx.Err() == nil {
 		err := n.writer.Append(ctx, record)
 		if err == nil {
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -16,6 +16,9 @@
 // record that is written twice counts once.
 const holderTimeout = 600 * time.Millisecond
 
+// holderPause is the pause before the holder is looked up again.
+const holderPause = 50 * time.Millisecond
+
 // errNotHolder tells that nothing was written: the instance does not decide.
 var errNotHolder = errors.Wrap(follower.ErrNotWritten, "this instance does not decide")
 
@@ -50,9 +53,25 @@
 	return b
 }
 
+// throughHolder asks the holder. While the term changes hands it waits for the
+// next one.
 func (s *storer) throughHolder(ctx context.Context, r tabulator.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
+	for {
+		err := s.askHolder(ctx, r)
+		if !errors.Is(err, errNotHolder) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(holderPause):
+		}
+	}
+}
+
+func (s *storer) askHolder(ctx context.Context, r tabulator.Record) error {
 	if s.node.status.deciding.Load() {
 		return s.Store(ctx, r)
 	}
@@ -61,7 +80,11 @@
 	if address == "" || address == s.node.settings.Peer {
 		return errNotHolder
 	}
-	return s.node.ports.Peers.Store(ctx, address, r)
+	err := s.node.ports.Peers.Store(ctx, address, r)
+	if errors.Is(err, follower.ErrNotWritten) {
+		return errors.Mark(err, errNotHolder)
+	}
+	return err
 }
 
 // Store hands a record to this instance's control loop.
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -55,9 +55,21 @@
 	return "silence of " + t.Holder, silent >= silenceMS+delay
 }
 
-// rank orders the instances by power, so that the most powerful live one claims
-// first. An instance that is not recorded yet comes last.
+// rank is this instance's place among those that may claim. An instance that is
+// not recorded yet comes last.
 func (m *Model) rank() int64 {
+	names := m.candidatesForTerm()
+	for i, n := range names {
+		if n.Name == m.cfg.Instance {
+			return int64(min(i, maxRank))
+		}
+	}
+	return int64(min(len(names), maxRank))
+}
+
+// candidatesForTerm lists the instances but the holder: the most powerful
+// first, and those that were started last, which are the surest to be there.
+func (m *Model) candidatesForTerm() []tabulator.Instance {
 	names := make([]tabulator.Instance, 0, len(m.Table.Instances))
 	for _, i := range m.Table.Instances {
 		if i.Name != instanceOf(m.Table.Term.Holder) {
@@ -65,14 +77,9 @@
 		}
 	}
 	slices.SortFunc(names, func(a, b tabulator.Instance) int {
-		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(m.Table.Started[b.Name], m.Table.Started[a.Name]), cmp.Compare(a.Name, b.Name))
 	})
-	for i, n := range names {
-		if n.Name == m.cfg.Instance {
-			return int64(min(i, maxRank))
-		}
-	}
-	return int64(min(len(names), maxRank))
+	return names
 }
 
 // maxRank bounds the delay of the last instance that may claim.
@@ -146,8 +153,9 @@
 	m.propose(tabulator.TermRecord(tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Renewals: m.terms.renewals}))
 }
 
-// leave hands the term over: it is released once all earlier decisions are
-// recorded, and nothing new is decided.
+// leave hands the term over once all earlier decisions are recorded; nothing new
+// is decided. The successor is named in the same record, so that no instance has
+// to claim the term.
 func (m *Model) leave() {
 	if m.leaving {
 		return
@@ -156,9 +164,12 @@
 	if !m.terms.active {
 		return
 	}
-	released := tabulator.TermRecord(tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Released: true})
-	m.propose(released, func(m *Model) { m.stepDown("released") })
-	m.event("TermReleased", "Term", m.terms.number)
+	next := tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Released: true}
+	if c := m.candidatesForTerm(); len(c) > 0 && c[0].Holder != "" {
+		next = tabulator.Term{Number: m.terms.number + 1, Holder: c[0].Holder}
+	}
+	m.propose(tabulator.TermRecord(next), func(m *Model) { m.stepDown("handed over") })
+	m.event("TermHandedOver", "Term", m.terms.number, "To", next.Holder)
 }
 
 // fresh reports whether the ledger has been read recently enough to start
--- a/internal/workload/scheduler/world_test.go
+++ b/internal/workload/scheduler/world_test.go
@@ -186,6 +186,9 @@
 }
 
 func (l *ledger) append(c scheduler.AppendCmd) scheduler.AppendResult {
+	if c.Term > l.epoch {
+		l.epoch, l.next = c.Term, c.Sequence
+	}
 	switch {
 	case c.Term < l.epoch:
 		return scheduler.AppendFenced
@@ -223,6 +226,9 @@
 		Instance: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.life), Power: 400,
 		LeaseMS: leaseMS, GangMS: gangMS, StopMS: stopTimeMS, RetainMS: 600000, SpreadFactor: 3,
 	})
+	i.world.ledger.records = append(i.world.ledger.records, tabulator.InstanceRecord(tabulator.Instance{
+		Name: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.life), Power: 400,
+	}))
 	i.send(scheduler.ConfiguredMsg{Configuration: i.world.config})
 	i.loop(tickMS, func() int64 { i.send(scheduler.TickMsg{}); return tickMS })
 	i.loop(1, i.readLedger)
--- a/internal/workload/tabulator/records.go
+++ b/internal/workload/tabulator/records.go
@@ -65,7 +65,9 @@
 
 // Instance tells where an instance's peers reach it.
 type Instance struct {
-	Name    string
+	Name string
+	// Holder is how the process names itself as the holder of a term.
+	Holder  string
 	Address string
 	// Power is the instance's share of a core, in thousandths.
 	Power int
--- a/internal/workload/tabulator/table.go
+++ b/internal/workload/tabulator/table.go
@@ -14,6 +14,9 @@
 	Term      Term
 	Jobs      map[string]*Job
 	Instances map[string]Instance
+	// Started holds the offsets of the instances' records: a larger one belongs
+	// to a process that was started later.
+	Started map[string]uint64
 	// Pending counts, for each queue, the live jobs without a started task.
 	Pending map[string]int
 }
@@ -34,7 +37,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{Jobs: map[string]*Job{}, Instances: map[string]Instance{}, Pending: map[string]int{}}
+	return &Table{Jobs: map[string]*Job{}, Instances: map[string]Instance{}, Started: map[string]uint64{}, Pending: map[string]int{}}
 }
 
 // State returns what callers see of the job.
@@ -65,7 +68,7 @@
 	case keyTerm:
 		return t.applyTerm(r)
 	case kindInstance:
-		return t.applyInstance(name, r)
+		return t.applyInstance(offset, name, r)
 	case kindSubmission, kindCancel, kindOutcome:
 		return t.applyJob(kind, name, r)
 	case kindUnit:
@@ -83,16 +86,17 @@
 	return nil
 }
 
-func (t *Table) applyInstance(name string, r Record) error {
+func (t *Table) applyInstance(offset uint64, name string, r Record) error {
 	if len(r.Value) == 0 {
 		delete(t.Instances, name)
+		delete(t.Started, name)
 		return nil
 	}
 	var i Instance
 	if err := decode(r, &i); err != nil {
 		return err
 	}
-	t.Instances[name] = i
+	t.Instances[name], t.Started[name] = i, offset
 	return nil
 }
 
