Preempt for urgent work beyond guarantees when little is lost

Cause: urgent jobs beyond their workspace's guarantee waited although small tasks could have given way; victims were chosen by all work on a worker, not by what has to stop.

Change: beyond the guarantee work gives way if at most a third of the urgent job's own work is lost; the cost of a worker is the loss for one more task.

--- a/internal/workload/scheduler/preempt.go
+++ b/internal/workload/scheduler/preempt.go
@@ -2,89 +2,113 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/packer"
 )
 
-// preempt frees room for work of priority 0 within its workspace's guarantee.
-// It returns where the work will go once the victims have stopped.
+// preempt frees room for work of priority 0: whatever that costs within its
+// workspace's guarantee, and beyond it if little is lost. It returns where the
+// work will go once the victims have stopped.
 func (m *Model) preempt(p *plan, nodes []packer.Node, c candidate, r packer.Request) (places []int, ok bool) {
 	workspace := c.step.job.sub.Job.Workspace
-	if p.used[workspace]+r.Count*r.Need.Accelerators > m.Config.Guaranteed(workspace) {
-		return nil, false
-	}
+	claimed := p.used[workspace]+r.Count*r.Need.Accelerators <= m.Config.Guaranteed(workspace)
 	freed := slices.Clone(nodes)
-	for i, w := range p.workers {
-		for _, v := range w.runs.list {
-			if !m.preemptible(v) {
-				continue
-			}
-			freed[i].Free = freed[i].Free.Add(v.need)
-			freed[i].Cost += m.loss(v)
-		}
+	for i := range p.workers {
+		m.offer(p, freed, i, r)
 	}
 	if places, ok = packer.Place(freed, r); !ok {
 		return nil, false
 	}
-	p.used[workspace] += r.Count * r.Need.Accelerators
-	need := map[int]int{}
-	for _, i := range places {
-		need[i]++
+	victims, lost := m.victims(p, nodes, places, r)
+	if !claimed && lost > m.worthLosing(c.step) {
+		return nil, false
 	}
-	for i, count := range need {
-		m.evict(p, nodes, i, count, r, c.step.job.id)
+	p.used[workspace] += r.Count * r.Need.Accelerators
+	for _, v := range victims {
+		m.event("UnitPreempted", "Job", v.ref.Unit.Job, "Unit", v.ref.Unit.String(), "For", c.step.job.id, "Worker", v.worker.ID, "LostCoreMS", int64(m.loss(v)), "Claimed", claimed)
+		m.stopUnit(v.unit, "preempted for job "+c.step.job.id)
 	}
 	return places, true
 }
 
-// preemptible reports whether the run may give way, or does so already.
-func (m *Model) preemptible(v *run) bool {
-	return v.unit != nil && m.queue(v.unit.step.job).Priority > 0
+// losingShare of a step's own work may be thrown away for it beyond its
+// workspace's guarantee, one part in so many.
+const losingShare = 3
+
+// worthLosing is the work, in core-milliseconds, that may be thrown away for a
+// step beyond its workspace's guarantee.
+func (m *Model) worthLosing(s *step) float64 {
+	return 1.0 / losingShare * float64(s.spec.Count) * float64(s.spec.Need.MilliCores()) / 1000 * float64(s.spec.EstimateMS)
 }
 
-// loss is the work in core-milliseconds that is thrown away with the run's
-// whole unit.
+// offer adds the room of preemptible runs to a node. Its cost is the loss for one
+// task of the request.
+func (m *Model) offer(p *plan, freed []packer.Node, i int, r packer.Request) {
+	free := freed[i].Free
+	for _, v := range m.preemptible(p.workers[i]) {
+		if !free.Fits(r.Need) {
+			freed[i].Cost += m.loss(v)
+			free = free.Add(v.need)
+		}
+		freed[i].Free = freed[i].Free.Add(v.need)
+	}
+}
+
+// preemptible lists a worker's runs that may give way, those first whose loss is
+// least.
+func (m *Model) preemptible(w *worker) (runs []*run) {
+	for _, v := range w.runs.list {
+		if v.unit != nil && m.queue(v.unit.step.job).Priority > 0 {
+			runs = append(runs, v)
+		}
+	}
+	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(m.loss(a), m.loss(b)) })
+	return runs
+}
+
+// loss is the work in core-milliseconds that is thrown away when the run's whole
+// unit is stopped.
 func (m *Model) loss(v *run) float64 {
-	if v.unit.state == unitStopping {
+	if v.unit.state == unitStopping || v.startedMS == 0 {
 		return 0
 	}
-	perTask := float64(v.need.MilliCores()) / 1000 * float64(v.percent) / 100 * float64(v.unit.step.spec.EstimateMS)
+	perTask := float64(v.need.MilliCores()) / 1000 * float64(m.at.MonoMS-v.startedMS)
 	if v.unit.step.spec.Checkpoints {
 		perTask /= savedShare
 	}
-	return 1 + perTask*float64(len(v.unit.runs))
+	return perTask * float64(len(v.unit.runs))
 }
 
 // savedShare is how much cheaper it is to stop a task that keeps a checkpoint:
-// it loses the time since the latest one and the restore, about a tenth.
+// it loses the time of its stop and restore, about a tenth of its run.
 const savedShare = 10
 
-// evict stops enough runs on one worker for count tasks to fit.
-func (m *Model) evict(p *plan, nodes []packer.Node, i, count int, r packer.Request, forJob string) {
-	free := nodes[i].Free
-	var victims []*run
-	for _, v := range p.workers[i].runs.list {
-		switch {
-		case !m.preemptible(v):
-		case v.unit.state == unitStopping:
+// victims lists the runs that have to stop for the places, and what is lost.
+func (m *Model) victims(p *plan, nodes []packer.Node, places []int, r packer.Request) (victims []*run, lost float64) {
+	need := map[int]int{}
+	seen := map[*unit]bool{}
+	for _, i := range places {
+		need[i]++
+	}
+	for _, i := range slices.Sorted(maps.Keys(need)) {
+		free := nodes[i].Free
+		for _, v := range m.preemptible(p.workers[i]) {
+			if holds(free, r, need[i]) {
+				break
+			}
 			free = free.Add(v.need)
-		default:
+			if v.unit.state == unitStopping || seen[v.unit] {
+				continue
+			}
+			seen[v.unit] = true
 			victims = append(victims, v)
+			lost += m.loss(v)
 		}
 	}
-	slices.SortFunc(victims, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(m.loss(a), m.loss(b)), cmp.Compare(a.ref.Unit.String(), b.ref.Unit.String()), cmp.Compare(a.ref.Member, b.ref.Member))
-	})
-	for _, v := range victims {
-		if holds(free, r, count) {
-			return
-		}
-		free = free.Add(v.need)
-		m.event("UnitPreempted", "Job", v.ref.Unit.Job, "Unit", v.ref.Unit.String(), "For", forJob, "Worker", p.workers[i].ID, "Percent", v.percent)
-		m.stopUnit(v.unit, "preempted for job "+forJob)
-	}
+	return victims, lost
 }
 
 func holds(free describer.Resources, r packer.Request, count int) bool {
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -80,6 +80,8 @@
 	// settledMS is when the worker last gave a definite answer: a report that
 	// was asked for later shows the run if it is there.
 	settledMS int64
+	// startedMS is when the run was first known to be present.
+	startedMS int64
 	percent   int
 	// percentMS is when percent last rose.
 	percentMS int64
@@ -198,9 +200,7 @@
 	switch msg.Result {
 	case OrderDone, OrderOld:
 		// An old run shows among the worker's ends, or has gone.
-		if r.state == runSent || r.state == runAdopted {
-			r.state = runPresent
-		}
+		m.notePresent(r)
 		r.settledMS = m.at.MonoMS
 		m.checkStarted(r.unit)
 	case OrderFenced:
@@ -237,6 +237,17 @@
 	}
 }
 
+// notePresent takes the first sign that a run is on its worker.
+func (m *Model) notePresent(r *run) {
+	if r.state != runSent && r.state != runAdopted {
+		return
+	}
+	r.state = runPresent
+	if r.startedMS == 0 {
+		r.startedMS = m.at.MonoMS
+	}
+}
+
 // fenced reads the ledger: a worker has seen a newer term than this process.
 func (m *Model) fenced(worker string) {
 	m.event("OrderFenced", "Worker", worker, "Term", m.terms.number)
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -250,13 +250,8 @@
 	if p.Checkpoint != "" && r.unit != nil && r.unit.state != unitDone {
 		r.unit.rec.Checkpoint = p.Checkpoint
 	}
-	switch r.state {
-	case runSent, runAdopted:
-		r.state = runPresent
-		m.checkStarted(r.unit)
-	case runRefused:
-		// It is being stopped; its end will be listed.
-	}
+	m.notePresent(r)
+	m.checkStarted(r.unit)
 }
 
 // stopStray stops a run that nobody wants any more. It takes room until then.
