--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -12,9 +12,10 @@
 	"daisyhead/internal/workload/tabulator"
 )
 
-// holderTimeout bounds the holder's answer before an instance writes itself. A
-// record that is written twice counts once.
-const holderTimeout = 600 * time.Millisecond
+// holderTimeout bounds the holder's answer before an instance writes itself: half
+// of the time that callers usually have. A record that is written twice counts
+// once, but on a slow platform it delays all others.
+const holderTimeout = 1500 * time.Millisecond
 
 // holderPause is the pause before the holder is looked up again.
 const holderPause = 50 * time.Millisecond
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -32,7 +32,10 @@
 	maxTries = 3
 	// tryTimeout bounds one peer's answer, so that a silent peer leaves time
 	// for another.
-	tryTimeout = 900 * time.Millisecond
+	tryTimeout = 1200 * time.Millisecond
+	// storeTimeout bounds the holder's own wait; the asking instance gives up
+	// before.
+	storeTimeout = 3 * time.Second
 	// maxCallBytes bounds a call and its answer.
 	maxCallBytes = 2 << 20
 )
@@ -178,7 +181,7 @@
 }
 
 func store(ctx context.Context, s Storer, r tabulator.Record) storeReply {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	err := s.Store(ctx, r)
 	if err == nil {
