Let a holder that can't write ask another instance to take over

Change: 500 ms after an append that is still not written the holder asks the other instances in turn; one that reads the ledger claims the term at once.

Ruled out: a shorter silence for all (a slow platform looks the same).

--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -52,6 +52,10 @@
 		n.loop.Send(n.writer.Claim(d.ctx, c))
 	case scheduler.AppendCmd:
 		n.loop.Send(n.writer.Decide(d.ctx, c))
+	case scheduler.YieldCmd:
+		if err := n.ports.Peers.Yield(d.ctx, c.Address, c.Term); err != nil {
+			n.ports.Reporter.Event("YieldUnanswered", "Term", c.Term, "To", c.To, "Error", err.Error())
+		}
 	case scheduler.HoldCmd:
 		ctx, cancel := context.WithTimeout(d.ctx, time.Duration(c.WaitMS)*time.Millisecond+holdAllowance)
 		defer cancel()
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -103,6 +103,11 @@
 	}
 }
 
+// TakeOver passes on that the holder of a term asks this instance to follow it.
+func (s *storer) TakeOver(term uint64) {
+	s.node.loop.Send(scheduler.YieldMsg{Term: term})
+}
+
 func storeError(r scheduler.StoreResult) error {
 	switch r {
 	case scheduler.StoreDone:
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -24,6 +24,9 @@
 // Path is where peers take calls.
 const Path = "/v1/calls"
 
+// yieldPath is where an instance is asked to take the term over.
+const yieldPath = "/v1/yields"
+
 // recordsPath is where the holder takes callers' records.
 const recordsPath = "/v1/records"
 
@@ -151,6 +154,18 @@
 	return true, cbor.Unmarshal(body, reply)
 }
 
+// Yield is a request to take the term over.
+type Yield struct{ Term uint64 }
+
+// Yield asks the instance at an address to claim the term after the given one.
+func (f *Forwarder) Yield(ctx context.Context, address string, term uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	var taken bool
+	_, err := f.post(ctx, address, yieldPath, Yield{Term: term}, &taken)
+	return errors.Wrapf(err, "peer %s", address)
+}
+
 // Answerer answers calls.
 type Answerer interface {
 	Answer(ctx context.Context, c acceptor.Call) acceptor.Answer
@@ -159,6 +174,8 @@
 // Storer writes records if this instance decides.
 type Storer interface {
 	Store(ctx context.Context, r tabulator.Record) error
+	// TakeOver claims the term after the given one.
+	TakeOver(term uint64)
 }
 
 // Handler takes calls and records from peers.
@@ -177,6 +194,13 @@
 			reply(w, store(r.Context(), s, record))
 		}
 	})
+	mux.HandleFunc("POST "+yieldPath, func(w http.ResponseWriter, r *http.Request) {
+		var y Yield
+		if receive(w, r, &y) {
+			s.TakeOver(y.Term)
+			reply(w, true)
+		}
+	})
 	return mux
 }
 
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -19,6 +19,13 @@
 	Records  []tabulator.Record
 }
 
+// YieldCmd asks another instance to claim the term after this one.
+type YieldCmd struct {
+	Term    uint64
+	To      string
+	Address string
+}
+
 // ReadCmd asks for a read of the ledger without delay.
 type ReadCmd struct{}
 
--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -184,6 +184,28 @@
 	}
 }
 
+// yieldMS is the time in which another instance has to decide once the holder can't
+// write: less than the silence after which any instance would claim the term.
+const yieldMS = 1200
+
+// TestYield cuts the holder off from the ledger only.
+func TestYield(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.addWorkers(2, 3)
+	w.startAll()
+	w.run(3000)
+	cut := w.holder()
+	cut.cutOff = true
+	w.run(3000 + yieldMS)
+	taken := false
+	for _, i := range w.instances {
+		taken = taken || i != cut && i.model.Deciding()
+	}
+	if !taken {
+		t.Errorf("no other instance decides %d ms after the holder was cut off from the ledger", yieldMS)
+	}
+}
+
 // TestSchedule puts random jobs and random faults together. More seeds are
 // played by
 //
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -168,6 +168,10 @@
 	Record tabulator.Record
 }
 
+// YieldMsg tells that the holder of a term can't write to the ledger and asks this
+// instance to claim the next one.
+type YieldMsg struct{ Term uint64 }
+
 // LeaveMsg starts a graceful shutdown: the term is released.
 type LeaveMsg struct{}
 
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -47,6 +47,11 @@
 	rankDelayMS = 100
 	// claimPauseMS is the pause after a claim that failed.
 	claimPauseMS = 300
+	// yieldAfterMS without a successful append lets the holder ask another
+	// instance to take over: a few retries.
+	yieldAfterMS = 500
+	// yieldPauseMS is the pause before the next instance is asked.
+	yieldPauseMS = 250
 	// blindMS is how long a holder goes on without word from the ledger that
 	// the term is still its own. A successor waits it out for workers that it
 	// can't reach.
@@ -170,6 +175,9 @@
 		m.finishOrder(msg)
 	case StoreMsg:
 		m.store(msg)
+	case YieldMsg:
+		m.terms.yielded = max(m.terms.yielded, msg.Term)
+		m.watchTerm()
 	case LeaveMsg:
 		m.leave()
 	case InspectMsg:
@@ -200,6 +208,7 @@
 		return
 	}
 	m.renewTerm()
+	m.yield()
 	m.watchWorkers()
 	m.watchUnits()
 	m.forgetJobs()
--- a/internal/workload/scheduler/proposer.go
+++ b/internal/workload/scheduler/proposer.go
@@ -80,6 +80,7 @@
 		acks := p.sentAcks
 		p.confirmedMS = p.sentMS
 		p.sequence++
+		m.terms.yields = 0
 		p.sent, p.sentAcks = nil, nil
 		for _, ack := range acks {
 			if m.terms.active {
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -21,8 +21,15 @@
 	claiming      bool
 	// claimAgainMS is when the next claim may be sent.
 	claimAgainMS int64
-	renewedMS    int64
-	renewals     uint64
+	// yielded is the term whose holder has asked this instance to take over.
+	yielded uint64
+	// yieldMS is when the holder last asked another instance to take over, and
+	// yields how many it has asked since its last append.
+	yieldMS int64
+	yields  int
+
+	renewedMS int64
+	renewals  uint64
 }
 
 // watchTerm claims the term when its holder has fallen silent.
@@ -47,6 +54,8 @@
 	switch {
 	case t.Number == 0:
 		return "no term yet", silent >= delay
+	case t.Number == m.terms.yielded:
+		return "asked by " + t.Holder, true
 	case t.Released:
 		return "released by " + t.Holder, silent >= delay
 	case instanceOf(t.Holder) == m.cfg.Instance:
@@ -125,7 +134,7 @@
 
 func (m *Model) takeOver() {
 	m.terms.active, m.terms.number = true, m.Table.Term.Number
-	m.terms.takenMS, m.terms.renewedMS, m.terms.renewals = m.at.MonoMS, m.at.MonoMS, 0
+	m.terms.takenMS, m.terms.renewedMS, m.terms.renewals, m.terms.yields = m.at.MonoMS, m.at.MonoMS, 0, 0
 	m.proposer = proposer{sequence: 1}
 	m.workers, m.fleet, m.jobs, m.order, m.ended = map[string]*worker{}, nil, map[string]*job{}, nil, nil
 	m.event("TermTaken", "Term", m.terms.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
@@ -153,6 +162,24 @@
 	m.propose(tabulator.TermRecord(tabulator.Term{Number: m.terms.number, Holder: m.cfg.Holder, Renewals: m.terms.renewals}))
 }
 
+// yield asks the other instances in turn to take over while this one can't write
+// to the ledger. If none of them can read it either, nothing changes.
+func (m *Model) yield() {
+	p := &m.proposer
+	if len(p.sent) == 0 || m.at.MonoMS-p.sentMS < yieldAfterMS || m.at.MonoMS-m.terms.yieldMS < yieldPauseMS {
+		return
+	}
+	others := m.candidatesForTerm()
+	if len(others) == 0 {
+		return
+	}
+	to := others[m.terms.yields%len(others)]
+	m.terms.yields++
+	m.terms.yieldMS = m.at.MonoMS
+	m.event("TermYielded", "Term", m.terms.number, "To", to.Name, "AppendSentAgoMS", m.at.MonoMS-p.sentMS)
+	m.emit(YieldCmd{Term: m.terms.number, To: to.Name, Address: to.Address})
+}
+
 // leave hands the term over once all earlier decisions are recorded; nothing new
 // is decided. The successor is named in the same record, so that no instance has
 // to claim the term.
