--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -48,6 +48,11 @@
 	Hold(ctx context.Context, c scheduler.HoldCmd) (scheduler.WorkerReport, scheduler.OrderResult, error)
 }
 
+// Adviser tells which workers may run a step, and for how long.
+type Adviser interface {
+	Advise(ctx context.Context, c scheduler.AdviseCmd) ([]scheduler.Permit, time.Duration, error)
+}
+
 // Reporter takes events for the log.
 type Reporter interface {
 	Event(name string, fields ...any)
@@ -59,6 +64,7 @@
 	Operators follower.Feed[describer.Change]
 	Workers   follower.Feed[describer.WorkerChange]
 	Orders    Orders
+	Adviser   Adviser
 	Peers     *forwarder.Forwarder
 	Reporter  Reporter
 }
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -52,6 +52,8 @@
 		n.loop.Send(n.writer.Claim(d.ctx, c))
 	case scheduler.AppendCmd:
 		n.loop.Send(n.writer.Decide(d.ctx, c))
+	case scheduler.AdviseCmd:
+		n.loop.Send(d.advise(c))
 	case scheduler.YieldCmd:
 		if err := n.ports.Peers.Yield(d.ctx, c.Address, c.Term); err != nil {
 			n.ports.Reporter.Event("YieldUnanswered", "Term", c.Term, "To", c.To, "Error", err.Error())
@@ -77,6 +79,18 @@
 	}
 }
 
+// adviceTimeout bounds one call for advice: the service handles calls in turn.
+const adviceTimeout = 4 * time.Second
+
+func (d dispatcher) advise(c scheduler.AdviseCmd) scheduler.AdvisedMsg {
+	ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
+	defer cancel()
+	msg := scheduler.AdvisedMsg{Step: c.Step, Workers: c.Workers, AskedMS: d.node.loop.NowMS()}
+	permits, valid, err := d.node.ports.Adviser.Advise(ctx, c)
+	msg.Permits, msg.ValidMS, msg.Err = permits, valid.Milliseconds(), text(err)
+	return msg
+}
+
 func text(err error) string {
 	if err == nil {
 		return ""
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -19,6 +19,12 @@
 	Records  []tabulator.Record
 }
 
+// AdviseCmd asks which workers may run a step.
+type AdviseCmd struct {
+	Step    StepRef
+	Workers []string
+}
+
 // YieldCmd asks another instance to claim the term after this one.
 type YieldCmd struct {
 	Term    uint64
@@ -53,6 +59,8 @@
 	Task       TaskRef
 	Spec       string
 	Checkpoint string
+	// Ticket proves a permit, where one is needed.
+	Ticket     string
 	DeadlineMS int64
 	Term       uint64
 }
--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -183,6 +183,10 @@
 	if c.DeadlineMS < f.clock() {
 		return scheduler.OrderLate
 	}
+	if f.world.judge.submitted[c.Task.Unit.Job].queue.Advised && !(f.world.permitted[f.id] && c.Ticket != "") {
+		f.world.judge.unpermitted++
+		return scheduler.OrderNoPermit
+	}
 	run := &fakeRun{ref: c.Task, startedMS: f.world.nowMS, workingMS: -1}
 	f.world.judge.began(f, run)
 	run.totalMS = f.world.judge.workMS(run.ref) * max(f.slow, 1)
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -40,6 +40,8 @@
 	// open counts units that are not done, waiting those that have no place.
 	open    int
 	waiting int
+	// permits is nil until a permit is needed.
+	permits *permits
 }
 
 // queue returns the job's queue as it is configured now, or as it was when the
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -132,6 +132,8 @@
 	OrderUnhealthy OrderResult = "Unhealthy"
 	// OrderGone is an answer by another life of the worker.
 	OrderGone OrderResult = "Gone"
+	// OrderNoPermit is a refusal of a start without a valid permit.
+	OrderNoPermit OrderResult = "NoPermit"
 	// OrderInvalid is a refusal that a repetition can't mend.
 	OrderInvalid OrderResult = "Invalid"
 )
@@ -168,6 +170,22 @@
 	Record tabulator.Record
 }
 
+// Permit lets one worker run a step.
+type Permit struct {
+	Worker string
+	Ticket string
+}
+
+// AdvisedMsg brings the answer to an AdviseCmd. AskedMS is when it was sent.
+type AdvisedMsg struct {
+	Step    StepRef
+	Workers []string
+	Permits []Permit
+	AskedMS int64
+	ValidMS int64
+	Err     string
+}
+
 // YieldMsg tells that the holder of a term can't write to the ledger and asks this
 // instance to claim the next one.
 type YieldMsg struct{ Term uint64 }
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -171,7 +171,7 @@
 		m.finishClaim(msg)
 	case AppendedMsg:
 		m.finishAppend(msg)
-	case HeldMsg, StartedMsg, StoppedMsg:
+	case HeldMsg, StartedMsg, StoppedMsg, AdvisedMsg:
 		m.finishOrder(msg)
 	case StoreMsg:
 		m.store(msg)
@@ -199,6 +199,8 @@
 		m.finishStart(msg)
 	case StoppedMsg:
 		m.finishStop(msg)
+	case AdvisedMsg:
+		m.finishAdvice(msg)
 	}
 }
 
--- /dev/null
+++ b/internal/workload/scheduler/permits.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"daisyhead/internal/workload/packer"
+)
+
+const (
+	// adviseWorkers is how many workers one call asks about: the call takes longer
+	// for each of them.
+	adviseWorkers = 30
+	// advisePauseMS is the pause after a call that was refused or not answered.
+	advisePauseMS = 500
+	// permitMarginMS is kept of a permit's validity for the start to arrive.
+	permitMarginMS = 300
+)
+
+// permits are the workers that may run a step, by the advice of a service
+// outside. Which they are does not change; each permit runs out.
+type permits struct {
+	// asked are workers that the service was asked about, with its verdict.
+	asked map[string]bool
+	// tickets are valid until untilMS, in one life of their worker.
+	tickets map[string]permit
+	busy    bool
+	againMS int64
+}
+
+type permit struct {
+	ticket  string
+	bornMS  int64
+	untilMS int64
+}
+
+// valid reports whether a start that is sent now is accepted with the permit.
+func (p permit) valid(w *worker, nowMS int64) bool {
+	return p.ticket != "" && p.bornMS == w.bornMS && nowMS+permitMarginMS < p.untilMS
+}
+
+// permitted closes the nodes for which the step has no permit, and asks for more
+// if those that are left do not hold the request.
+func (m *Model) permitted(p *plan, c candidate, nodes []packer.Node, r packer.Request) []packer.Node {
+	s := c.step
+	if s.permits == nil {
+		s.permits = &permits{asked: map[string]bool{}, tickets: map[string]permit{}}
+	}
+	open := append([]packer.Node{}, nodes...)
+	var unasked, expired []string
+	for i, w := range p.workers {
+		good, asked := s.permits.asked[w.ID]
+		switch {
+		case nodes[i].Closed:
+		case s.permits.tickets[w.ID].valid(w, m.at.MonoMS):
+			continue
+		case !asked:
+			unasked = append(unasked, w.ID)
+		case good:
+			expired = append(expired, w.ID)
+		}
+		open[i].Closed = true
+	}
+	if _, ok := packer.Place(open, r); !ok {
+		m.advise(s, append(expired, unasked...))
+	}
+	return open
+}
+
+// advise asks which of the workers may run the step.
+func (m *Model) advise(s *step, workers []string) {
+	if s.permits.busy || m.at.MonoMS < s.permits.againMS || len(workers) == 0 {
+		return
+	}
+	s.permits.busy = true
+	cmd := AdviseCmd{Step: StepRef{Job: s.job.id, Occurrence: s.occurrence.number, Step: s.index}, Workers: workers[:min(len(workers), adviseWorkers)]}
+	m.event("AdviceAsked", "Job", s.job.id, "Step", s.index, "Workers", len(cmd.Workers))
+	m.emit(cmd)
+}
+
+// finishAdvice takes the permits that the service has given.
+func (m *Model) finishAdvice(msg AdvisedMsg) {
+	j, ok := m.jobs[msg.Step.Job]
+	if !ok || msg.Step.Occurrence >= len(j.occurrences) {
+		return
+	}
+	s := j.occurrences[msg.Step.Occurrence].steps[msg.Step.Step]
+	if s.permits == nil {
+		return
+	}
+	s.permits.busy = false
+	if msg.Err != "" {
+		s.permits.againMS = m.at.MonoMS + advisePauseMS
+		m.event("AdviceUnanswered", "Job", j.id, "Step", s.index, "Error", msg.Err)
+		return
+	}
+	for _, id := range msg.Workers {
+		s.permits.asked[id] = false
+	}
+	for _, p := range msg.Permits {
+		s.permits.asked[p.Worker] = true
+		if w, ok := m.workers[p.Worker]; ok {
+			s.permits.tickets[p.Worker] = permit{ticket: p.Ticket, bornMS: w.bornMS, untilMS: msg.AskedMS + msg.ValidMS}
+		}
+	}
+	m.event("AdviceTaken", "Job", j.id, "Step", s.index, "Good", len(msg.Permits), "Asked", len(msg.Workers), "ValidMS", msg.ValidMS)
+	m.dirty = true
+}
+
+// ticket returns the permit's ticket for a start, or "" where none is needed.
+func (m *Model) ticket(r *run) string {
+	if r.unit.step.permits == nil {
+		return ""
+	}
+	return r.unit.step.permits.tickets[r.worker.ID].ticket
+}
+
+// StepRef names a step of one occurrence of a job.
+type StepRef struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// String returns the form JOB.OCCURRENCE.STEP.
+func (s StepRef) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Occurrence, s.Step) }
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -125,6 +125,9 @@
 			continue
 		}
 		open := m.avoid(p, nodes, u, r)
+		if c.queue.Advised {
+			open = m.permitted(p, c, open, r)
+		}
 		places, ok := packer.Place(open, r)
 		if !ok && sh.urgent {
 			if places, ok = m.preempt(p, open, c, r); ok {
@@ -135,7 +138,7 @@
 			}
 		}
 		if !ok {
-			p.failed[sh] = p.failed[sh] || r.MaxPerWorker == 0 && len(u.failedOn) == 0 && !sh.urgent
+			p.failed[sh] = p.failed[sh] || r.MaxPerWorker == 0 && len(u.failedOn) == 0 && !sh.urgent && !c.queue.Advised && !serving(c.step.spec) && !c.step.spec.FillsIdle
 			m.noteWaiting(c.step.job, "no room")
 			return
 		}
@@ -196,7 +199,8 @@
 		nodes = p.others
 	}
 	foreign := slices.ContainsFunc(p.workers, func(w *worker) bool { return w.Service != q.Service })
-	if !foreign && s.spec.MaxPerWorker == 0 {
+	apart := serving(s.spec) || s.spec.FillsIdle
+	if !foreign && s.spec.MaxPerWorker == 0 && !apart {
 		return nodes
 	}
 	nodes = slices.Clone(nodes)
@@ -204,14 +208,28 @@
 		nodes[i].Closed = nodes[i].Closed || w.Service != q.Service
 		nodes[i].Taken = 0
 		for _, r := range w.runs.list {
-			if r.unit != nil && r.unit.step == s {
+			switch {
+			case r.unit == nil:
+			case r.unit.step == s:
 				nodes[i].Taken++
+			case disturbs(s.spec, r.unit.step.spec):
+				nodes[i].Closed = true
 			}
 		}
 	}
 	return nodes
 }
 
+// serving reports whether the step's tasks serve users under a latency target.
+func serving(s describer.Step) bool { return s.LatencyTargetMS > 0 }
+
+// disturbs reports whether tasks of two steps are kept apart: those that use idle
+// processor time slow down those that serve users, by amounts that are not known
+// beforehand.
+func disturbs(a, b describer.Step) bool {
+	return serving(a) && b.FillsIdle || serving(b) && a.FillsIdle
+}
+
 // keptShare of the accelerators, one in so many, stay free for urgent work: its
 // objective leaves it too little time to wait until other work has stopped.
 const keptShare = 6
--- a/internal/workload/scheduler/preempt.go
+++ b/internal/workload/scheduler/preempt.go
@@ -58,10 +58,10 @@
 }
 
 // preemptible lists a worker's runs that may give way, those first whose loss is
-// least.
+// least. Tasks whose availability is bounded stay.
 func (m *Model) preemptible(w *worker) (runs []*run) {
 	for _, v := range w.runs.list {
-		if v.unit != nil && m.queue(v.unit.step.job).Priority > 0 {
+		if v.unit != nil && v.unit.step.spec.MaxUnavailable == 0 && m.queue(v.unit.step.job).Priority > 0 {
 			runs = append(runs, v)
 		}
 	}
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -177,7 +177,7 @@
 	r.state, r.busy, r.orderMS = runSent, true, m.at.MonoMS
 	m.emit(StartCmd{
 		Worker: w.ID, Address: w.Address, Task: r.ref, Spec: u.step.job.sub.Job.Spec,
-		Checkpoint: u.rec.Checkpoint, DeadlineMS: m.grant(w), Term: m.terms.number,
+		Checkpoint: u.rec.Checkpoint, Ticket: m.ticket(r), DeadlineMS: m.grant(w), Term: m.terms.number,
 	})
 }
 
@@ -213,7 +213,7 @@
 		m.fenced(msg.Worker)
 	case OrderGone:
 		m.loseWorker(r.worker, "another life of the worker answers")
-	case OrderNoRoom, OrderUnhealthy, OrderInvalid:
+	case OrderNoRoom, OrderUnhealthy, OrderNoPermit, OrderInvalid:
 		r.worker.avoidMS = m.at.MonoMS + avoidMS
 		m.event("StartRefused", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Worker", msg.Worker, "Result", msg.Result)
 		m.dropRun(r)
