--- /dev/null
+++ b/internal/workload/follower/follower_test.go
@@ -0,0 +1,199 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/follower"
+	"daisyhead/internal/workload/scheduler"
+	"daisyhead/internal/workload/tabulator"
+)
+
+// scriptedFeed answers reads in turn and then waits for ever.
+type scriptedFeed struct {
+	newest  []string
+	pages   []any // follower.Page[string] or error
+	froms   []uint64
+	reads   []time.Duration
+	started time.Time
+}
+
+func (f *scriptedFeed) Newest(context.Context) ([]string, uint64, error) { return f.newest, 5, nil }
+
+func (f *scriptedFeed) Read(ctx context.Context, from uint64, wait time.Duration) (p follower.Page[string], err error) {
+	f.froms = append(f.froms, from)
+	f.reads = append(f.reads, time.Since(f.started))
+	if len(f.pages) == 0 {
+		<-ctx.Done()
+		return p, ctx.Err()
+	}
+	next := f.pages[0]
+	f.pages = f.pages[1:]
+	switch next := next.(type) {
+	case error:
+		return p, next
+	case follower.Page[string]:
+		if len(next.Items) == 0 {
+			time.Sleep(wait)
+		}
+		return next, nil
+	}
+	return p, err
+}
+
+// history notes what a reader brings.
+type history struct{ lines []string }
+
+func (h *history) Load(items []string, next uint64, _ time.Time) {
+	h.lines = append(h.lines, fmt.Sprint("load ", items, " next ", next))
+}
+
+func (h *history) Take(from uint64, items []string, _ time.Time, caughtUp bool) {
+	h.lines = append(h.lines, fmt.Sprint("take ", items, " from ", from, " complete ", caughtUp))
+}
+
+func (h *history) Fail(err error) { h.lines = append(h.lines, "fail "+err.Error()) }
+
+func TestReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFeed{newest: []string{"a"}, started: time.Now(), pages: []any{
+			follower.Page[string]{Items: []string{"b", "c"}, End: 8},
+			follower.Page[string]{Items: []string{"d"}, End: 8},
+			errors.New("busy"),
+			follower.Page[string]{End: 8},
+			errors.Wrap(follower.ErrExpired, "read"),
+			follower.Page[string]{Items: []string{"z"}, End: 6},
+		}}
+		h := &history{}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		follower.NewReader(f, h, func() follower.Pace {
+			return follower.Pace{Wait: 500 * time.Millisecond, Interval: 200 * time.Millisecond}
+		}).Run(ctx)
+		want := []string{
+			"load [a] next 5", "take [b c] from 5 complete false", "take [d] from 7 complete true", "fail busy",
+			"take [] from 8 complete true", "load [a] next 5", "take [z] from 5 complete true", "fail context deadline exceeded",
+		}
+		if diff := cmp.Diff(want, h.lines[:len(want)]); diff != "" {
+			t.Errorf("history (-want +got):\n%s", diff)
+		}
+		for i := 1; i < 3; i++ {
+			if gap := f.reads[i] - f.reads[i-1]; gap < 200*time.Millisecond {
+				t.Errorf("reads %d and %d are %s apart", i-1, i, gap)
+			}
+		}
+	})
+}
+
+// slowLedger takes a time for each append and counts those that overlap.
+type slowLedger struct {
+	follower.Ledger
+	takes   time.Duration
+	appends [][]tabulator.Record
+	calls   int
+}
+
+func (l *slowLedger) Append(ctx context.Context, records []tabulator.Record) error {
+	l.calls++
+	select {
+	case <-time.After(l.takes):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	l.appends = append(l.appends, records)
+	return nil
+}
+
+func (l *slowLedger) AppendInTerm(ctx context.Context, _, _ uint64, records []tabulator.Record) error {
+	return l.Append(ctx, records)
+}
+
+// TestWriterGroupsRecords lets records that come during an append share the next.
+func TestWriterGroupsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slowLedger{takes: 10 * time.Millisecond}
+		w := follower.NewWriter(l)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.Run(ctx)
+		for i := range 20 {
+			go func() {
+				if err := w.Append(ctx, tabulator.Record{Key: fmt.Sprint(i)}); err != nil {
+					t.Error(err)
+				}
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		if len(l.appends) > 3 {
+			t.Errorf("%d appends for 20 records at once", len(l.appends))
+		}
+	})
+}
+
+// TestPatienceGrowsWithASlowLedger lets appends take longer than the first limit:
+// the writer must wait longer and longer instead of pressing the ledger.
+func TestPatienceGrowsWithASlowLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slowLedger{takes: 2 * time.Second}
+		w := follower.NewWriter(l)
+		for try := 1; ; try++ {
+			msg := w.Decide(context.Background(), scheduler.AppendCmd{Term: 1, Sequence: 1, Records: []tabulator.Record{{Key: "a"}}})
+			if msg.Result == scheduler.AppendDone {
+				break
+			}
+			if msg.Result != scheduler.AppendUnknown || try > 5 {
+				t.Fatalf("try %d: %+v", try, msg)
+			}
+		}
+	})
+}
+
+type sink struct{ msgs []scheduler.Msg }
+
+func (s *sink) Send(m scheduler.Msg) bool {
+	s.msgs = append(s.msgs, m)
+	return true
+}
+
+type quiet struct{}
+
+func (quiet) Event(string, ...any) {}
+
+func config(version uint64) describer.Change {
+	return describer.Change{Configuration: &describer.Configuration{Version: version}}
+}
+
+// TestCatalogNeverGoesBack loads records of which an older version comes last.
+func TestCatalogNeverGoesBack(t *testing.T) {
+	c := &follower.Catalog{Sink: &sink{}, Reporter: quiet{}}
+	c.Take(0, []describer.Change{config(7), {Domain: "z", Closed: true}}, time.Now(), true)
+	c.Load([]describer.Change{config(5)}, 9, time.Now())
+	cfg, _ := c.Current()
+	if cfg.Version != 7 {
+		t.Errorf("version %d is in force after 7", cfg.Version)
+	}
+	if cfg.Closed["z"] {
+		t.Error("a domain that the newest records do not close is still closed")
+	}
+}
+
+// TestRosterReportsChangesOnly gives the same entry twice.
+func TestRosterReportsChangesOnly(t *testing.T) {
+	s := &sink{}
+	r := &follower.Roster{Sink: s, Reporter: quiet{}}
+	w := &describer.Worker{ID: "i", Labels: []string{"a"}}
+	r.Load([]describer.WorkerChange{{ID: "i", Worker: w}}, 3, time.Now())
+	r.Take(3, []describer.WorkerChange{{ID: "i", Worker: w}, {}}, time.Now(), true)
+	r.Take(5, []describer.WorkerChange{{ID: "i"}}, time.Now(), true)
+	want := []scheduler.Msg{scheduler.ListedMsg{Workers: []describer.Worker{*w}}, scheduler.ListedMsg{Workers: []describer.Worker{}}}
+	if diff := cmp.Diff(want, s.msgs); diff != "" {
+		t.Errorf("messages (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/workload/packer/packer_test.go
@@ -0,0 +1,108 @@
+package packer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/packer"
+)
+
+func node(rack string, free int) packer.Node {
+	return packer.Node{
+		Rack: rack, Labels: []string{rack},
+		Free: describer.Resources{CPU: 64000, MemoryMB: 1000, Accelerators: free},
+		Room: describer.Resources{CPU: 64000, MemoryMB: 1000, Accelerators: 8},
+	}
+}
+
+func need(accelerators int) describer.Resources {
+	return describer.Resources{CPU: 1000, MemoryMB: 10, Accelerators: accelerators}
+}
+
+func ExamplePlace() {
+	fleet := []packer.Node{{Rack: "r1", Free: describer.Resources{Accelerators: 8}}, {Rack: "r2", Free: describer.Resources{Accelerators: 4}}}
+	places, ok := packer.Place(fleet, packer.Request{Count: 1, Need: describer.Resources{Accelerators: 4}})
+	fmt.Println(places, ok)
+	// Output: [1] true
+}
+
+func TestPlace(t *testing.T) {
+	closed := node("a", 8)
+	closed.Closed = true
+	dear := node("a", 8)
+	dear.Cost = 5
+	taken := node("a", 8)
+	taken.Taken = 2
+	for _, c := range []struct {
+		name  string
+		nodes []packer.Node
+		r     packer.Request
+		want  []int
+	}{
+		{"the tightest fit", []packer.Node{node("a", 8), node("a", 3), node("b", 2)}, packer.Request{Count: 1, Need: need(2)}, []int{2}},
+		{"a whole worker stays free", []packer.Node{node("a", 8), node("b", 5)}, packer.Request{Count: 4, Need: need(1)}, []int{1, 1, 1, 1}},
+		{"one rack for a gang", []packer.Node{node("a", 8), node("a", 8), node("b", 4), node("b", 4)}, packer.Request{Count: 2, Need: need(4), SameRack: true}, []int{2, 3}},
+		{"a gang waits for a rack", []packer.Node{node("a", 4), node("b", 4)}, packer.Request{Count: 2, Need: need(4), SameRack: true}, nil},
+		{"a gang that no rack could hold spreads", []packer.Node{node("a", 8), node("b", 8)}, packer.Request{Count: 2, Need: need(8), SameRack: true}, []int{0, 1}},
+		{"closed nodes are left out", []packer.Node{closed, node("b", 8)}, packer.Request{Count: 1, Need: need(8)}, []int{1}},
+		{"cheap nodes first", []packer.Node{dear, node("b", 8)}, packer.Request{Count: 1, Need: need(1)}, []int{1}},
+		{"not all fit", []packer.Node{node("a", 8)}, packer.Request{Count: 9, Need: need(1)}, nil},
+		{"a label", []packer.Node{node("a", 8), node("b", 8)}, packer.Request{Count: 1, Need: need(1), RequireLabel: "b"}, []int{1}},
+		{"the rack of the data", []packer.Node{node("a", 1), node("b", 8)}, packer.Request{Count: 1, Need: need(1), PreferRack: "b"}, []int{1}},
+		{"a full rack of the data", []packer.Node{node("a", 1), node("b", 0)}, packer.Request{Count: 1, Need: need(1), PreferRack: "b"}, []int{0}},
+		{"at most so many on a worker", []packer.Node{taken, node("b", 8)}, packer.Request{Count: 2, Need: need(1), MaxPerWorker: 2}, []int{1, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, ok := packer.Place(c.nodes, c.r)
+			if ok != (c.want != nil) {
+				t.Fatalf("placed is %t, places are %v", ok, got)
+			}
+			if diff := cmp.Diff(c.want, got); ok && diff != "" {
+				t.Errorf("places (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestPossible(t *testing.T) {
+	closed := node("a", 0)
+	closed.Closed = true
+	if !packer.Possible([]packer.Node{closed}, packer.Request{Count: 8, Need: need(1)}) {
+		t.Error("what an empty and open fleet holds is impossible")
+	}
+	if packer.Possible([]packer.Node{node("a", 8)}, packer.Request{Count: 1, Need: need(9)}) {
+		t.Error("a task larger than any worker is possible")
+	}
+}
+
+// TestPlaceNeverOverfills places random requests on random fleets.
+func TestPlaceNeverOverfills(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := make([]packer.Node, rapid.IntRange(1, 20).Draw(t, "nodes"))
+		for i := range nodes {
+			nodes[i] = node(fmt.Sprint(i/4), rapid.IntRange(0, 8).Draw(t, "free"))
+			nodes[i].Closed = rapid.Bool().Draw(t, "closed")
+			nodes[i].Cost = float64(rapid.IntRange(0, 3).Draw(t, "cost"))
+		}
+		r := packer.Request{Count: rapid.IntRange(1, 12).Draw(t, "count"), Need: need(rapid.IntRange(0, 8).Draw(t, "need")), SameRack: rapid.Bool().Draw(t, "same rack"), MaxPerWorker: rapid.IntRange(0, 3).Draw(t, "most")}
+		places, ok := packer.Place(nodes, r)
+		if !ok {
+			return
+		}
+		if len(places) != r.Count {
+			t.Fatalf("%d places for %d tasks", len(places), r.Count)
+		}
+		on := map[int]int{}
+		for _, i := range places {
+			on[i]++
+			nodes[i].Free = nodes[i].Free.Sub(r.Need)
+			if nodes[i].Closed || nodes[i].Free.Accelerators < 0 || r.MaxPerWorker > 0 && on[i] > r.MaxPerWorker {
+				t.Fatalf("node %d with %d tasks: %+v", i, on[i], nodes[i])
+			}
+		}
+	})
+}
