--- a/internal/workload/scheduler/judge_test.go
+++ b/internal/workload/scheduler/judge_test.go
@@ -18,7 +18,6 @@
 	doneMS      int64
 	// fails lets all of its tasks fail.
 	fails bool
-	done  map[string]bool
 	// took replaces the estimates as the true time of work.
 	took int64
 }
