--- a/cmd/daisyhead/commands.go
+++ b/cmd/daisyhead/commands.go
@@ -36,6 +36,8 @@
 	must(job.AddCommand("wait", "Wait until jobs have ended", "Exits with 0 when all finished, 3 when one was refused, failed or cancelled, 6 when one is unknown.", &jobWaitCommand{}))
 	must(job.AddCommand("explain", "Tell exactly what happened to a job", "", &jobExplainCommand{}))
 
+	must(group(p, "logs", "Read the logs of instances on the platform").AddCommand("explain", "Join logs into the story of one job", "Joins the log files of several instances, one file each, into one timeline. Gaps are named.", &logsExplainCommand{}))
+
 	ticket := group(p, "ticket", "Apply numbered change tickets")
 	must(ticket.AddCommand("check", "Judge a ticket without applying it", "", &ticketCheckCommand{}))
 	must(ticket.AddCommand("apply", "Apply a ticket", "", &ticketApplyCommand{}))
--- /dev/null
+++ b/cmd/daisyhead/logs.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"daisyhead/internal/workload/storyteller"
+)
+
+type logsExplainCommand struct {
+	ID   string `long:"id" required:"true" description:"the job's ID"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute joins the logs of several instances into the story of one job.
+func (c *logsExplainCommand) Execute([]string) error {
+	var s storyteller.Story
+	for _, name := range c.Args.Files {
+		if err := readLog(&s, name); err != nil {
+			return exitError{exitUsage, err}
+		}
+	}
+	if s.Unreadable > 0 {
+		fmt.Fprintf(os.Stderr, "daisyhead: passed over %d lines that are not events\n", s.Unreadable)
+	}
+	if err := s.Write(os.Stdout, c.ID); err != nil {
+		return exitError{exitNotFound, err}
+	}
+	return nil
+}
+
+func readLog(s *storyteller.Story, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return s.Read(strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)), f)
+}
--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -149,6 +149,21 @@
 
 // Answer answers one call.
 func (a *Acceptor) Answer(ctx context.Context, c Call) Answer {
+	answer := a.answer(ctx, c)
+	switch answer.Verdict {
+	case NotRun, Unknown, Invalid:
+		cfg, asOf := a.Catalog.Current()
+		var version uint64
+		if cfg != nil {
+			version = cfg.Version
+		}
+		a.Reporter.Event("CallRefused", "Job", c.Path[strings.LastIndexByte(c.Path, '/')+1:], "Kind", c.Kind, "Verdict", answer.Verdict,
+			"Reason", answer.Reason, "Forwarded", c.Forwarded, "ConfigVersion", version, "ConfigAgeMS", time.Since(asOf).Milliseconds())
+	}
+	return answer
+}
+
+func (a *Acceptor) answer(ctx context.Context, c Call) Answer {
 	if c.WithinMS <= 0 {
 		c.WithinMS = defaultWithinMS
 	}
@@ -218,7 +233,7 @@
 	}
 	s := tabulator.Submission{Job: job, Queue: q, AcceptedMS: time.Now().UnixMilli()}
 	answer := a.store(ctx, c, tabulator.SubmissionRecord(s), Accepted)
-	a.Reporter.Event("JobSubmitted", "Job", id, "Queue", q.Name, "Workspace", workspace, "Verdict", answer.Verdict, "Reason", answer.Reason)
+	a.Reporter.Event("JobSubmitted", "Job", id, "Queue", q.Name, "Workspace", workspace, "Verdict", answer.Verdict, "TableAgeMS", time.Since(v.AsOf).Milliseconds())
 	return answer
 }
 
@@ -233,7 +248,7 @@
 		return Answer{Verdict: NoJob}
 	}
 	answer := a.store(ctx, c, tabulator.CancelRecord(id, tabulator.Cancel{AtMS: time.Now().UnixMilli()}), Cancelled)
-	a.Reporter.Event("JobCancelRequested", "Job", id, "Verdict", answer.Verdict, "Reason", answer.Reason)
+	a.Reporter.Event("JobCancelRequested", "Job", id, "Verdict", answer.Verdict, "TableAgeMS", time.Since(v.AsOf).Milliseconds())
 	return answer
 }
 
