--- a/internal/workload/follower/follower_test.go
+++ b/internal/workload/follower/follower_test.go
@@ -131,6 +131,8 @@
 			}()
 		}
 		time.Sleep(100 * time.Millisecond)
+		cancel()
+		synctest.Wait()
 		if len(l.appends) > 3 {
 			t.Errorf("%d appends for 20 records at once", len(l.appends))
 		}
