Take a report of the millisecond of a start as older than the start

Change: a report proves that a run has gone only if it was asked for after the last definite answer.

Ruled out: microseconds (they only make it rarer).

--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -59,7 +59,7 @@
 			return
 		}
 		report, result := hold(c)
-		w.after(orderWayMS, func() {
+		w.after(w.orderWayMS, func() {
 			if i.life == life {
 				i.send(scheduler.HeldMsg{Worker: f.id, Sequence: c.Sequence, Result: result, Report: report})
 			}
@@ -71,7 +71,7 @@
 		})
 		return
 	}
-	w.after(orderWayMS, func() {
+	w.after(w.orderWayMS, func() {
 		if c.Term >= f.token && !f.down && !f.cutOff {
 			hold(c)
 		}
--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -217,8 +217,11 @@
 	}
 }
 
-func playSchedule(t *testing.T, seed uint64) {
+func playSchedule(t *testing.T, seed uint64) { playScheduleAt(t, seed, defaultOrderWayMS) }
+
+func playScheduleAt(t *testing.T, seed uint64, orderWayMS int64) {
 	w := newWorld(t, seed, 3)
+	w.orderWayMS = orderWayMS
 	w.addWorkers(3, 4)
 	w.traceJob(*traced)
 	w.startAll()
@@ -314,6 +317,14 @@
 	}
 }
 
+// TestScheduleWithinAMillisecond lets orders and their answers happen in the
+// millisecond in which they were sent, where times do not tell which was first.
+func TestScheduleWithinAMillisecond(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playScheduleAt(t, seed, 0) })
+	}
+}
+
 // traceJob prints the events about a job, and who decides.
 func (w *world) traceJob(id string) {
 	if id == "" {
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -348,7 +348,7 @@
 		if present[ref] || r.busy {
 			continue
 		}
-		settled := r.settledMS > 0 && r.settledMS <= w.sentMS
+		settled := r.settledMS > 0 && r.settledMS < w.sentMS
 		if r.state != runAdopted && !settled {
 			continue
 		}
--- a/internal/workload/scheduler/world_test.go
+++ b/internal/workload/scheduler/world_test.go
@@ -14,17 +14,17 @@
 
 // Latencies of the simulated platform, in milliseconds.
 const (
-	appendMS    = 10
-	orderWayMS  = 2
-	tickMS      = 50
-	holderRead  = 30
-	otherRead   = 200
-	timeoutMS   = 700
-	leaseMS     = 6000
-	gangMS      = 3000
-	stopTimeMS  = 300
-	permitMS    = 3000
-	wallStartMS = 1_700_000_000_000
+	appendMS          = 10
+	defaultOrderWayMS = 2
+	tickMS            = 50
+	holderRead        = 30
+	otherRead         = 200
+	timeoutMS         = 700
+	leaseMS           = 6000
+	gangMS            = 3000
+	stopTimeMS        = 300
+	permitMS          = 3000
+	wallStartMS       = 1_700_000_000_000
 )
 
 // event is something that happens at a time.
@@ -63,6 +63,8 @@
 	names     []string
 	judge     *judge
 
+	// orderWayMS is how long an order or its answer is on the way.
+	orderWayMS int64
 	// permitted are the workers that advised queues may use.
 	permitted map[string]bool
 	// lossOfAnswers is the share of appends that succeed without an answer.
@@ -73,7 +75,7 @@
 }
 
 func newWorld(t testing.TB, seed uint64, instances int) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, judge: newJudge()}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, judge: newJudge(), orderWayMS: defaultOrderWayMS}
 	w.config = &describer.Configuration{Version: 1, Queues: []describer.Queue{
 		{Name: "urgent", Host: "h", PathPrefix: "/u/", Service: "s", Priority: 0, Attempts: 3, Stretch: 1.5, ObjectiveMS: 250},
 		{Name: "render", Host: "h", PathPrefix: "/r/", Service: "s", Priority: 1, Attempts: 3, Stretch: 3, ObjectiveMS: 1000},
@@ -361,7 +363,7 @@
 		})
 	case scheduler.AdviseCmd:
 		asked := w.nowMS - i.startMS
-		i.reply(orderWayMS, func() scheduler.Msg {
+		i.reply(w.orderWayMS, func() scheduler.Msg {
 			msg := scheduler.AdvisedMsg{Step: c.Step, Workers: c.Workers, AskedMS: asked, ValidMS: permitMS}
 			for _, id := range c.Workers {
 				if w.permitted[id] {
@@ -373,7 +375,7 @@
 	case scheduler.YieldCmd:
 		for _, o := range w.instances {
 			if o.name == c.To {
-				w.after(orderWayMS, func() { o.send(scheduler.YieldMsg{Term: c.Term}) })
+				w.after(w.orderWayMS, func() { o.send(scheduler.YieldMsg{Term: c.Term}) })
 			}
 		}
 	case scheduler.AppendCmd:
@@ -397,7 +399,7 @@
 	w := i.world
 	msg := scheduler.AppendedMsg{Term: c.Term, Sequence: c.Sequence, Result: scheduler.AppendUnknown, Err: "no answer"}
 	if w.ledger.down || i.cutOff {
-		i.reply(orderWayMS, func() scheduler.Msg { return msg })
+		i.reply(w.orderWayMS, func() scheduler.Msg { return msg })
 		return
 	}
 	lost := w.rng.Float64() < w.lossOfAnswers
@@ -431,9 +433,9 @@
 		return
 	}
 	life := i.life
-	w.after(orderWayMS, func() {
+	w.after(w.orderWayMS, func() {
 		result := do(false)
-		w.after(orderWayMS, func() {
+		w.after(w.orderWayMS, func() {
 			if i.life == life {
 				i.send(msg(result))
 			}
