Ask the holder for the state of live jobs, read less often in the rear

Change: an instance asks the holder about a job that has not ended, with its own answer as the fallback; instances that are unlikely to decide next read every 600 ms; the operators' feed is waited on for half of its deadline.

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -112,6 +112,9 @@
 // call; the call has then had no effect.
 type Peers interface {
 	Forward(ctx context.Context, c Call) (a Answer, ok bool)
+	// AskHolder passes a call on to the instance that decides, which sees an end
+	// first. ok is false if this instance decides, or the holder does not answer.
+	AskHolder(ctx context.Context, c Call) (a Answer, ok bool)
 }
 
 // Reporter takes events for the log.
@@ -255,8 +258,10 @@
 func (a *Acceptor) state(ctx context.Context, c Call, id string) Answer {
 	v := a.lookup(ctx, id)
 	switch {
-	case v.Known && (a.sure(v) || final(v.State)):
+	case v.Known && final(v.State):
 		return Answer{Verdict: Told, State: v.State}
+	case v.Known && a.sure(v):
+		return a.newest(ctx, c, v)
 	case !a.sure(v):
 		answer := a.forward(ctx, c, "the table of jobs is out of date")
 		if answer.Verdict == NotRun && v.Known {
@@ -267,6 +272,17 @@
 	return Answer{Verdict: NoJob}
 }
 
+// newest tells a live job's state as the holder knows it: the own table is a
+// paced read behind, and callers wait for the end.
+func (a *Acceptor) newest(ctx context.Context, c Call, v JobView) Answer {
+	if !c.Forwarded {
+		if answer, ok := a.Peers.AskHolder(ctx, c); ok && answer.Verdict == Told {
+			return answer
+		}
+	}
+	return Answer{Verdict: Told, State: v.State}
+}
+
 func final(s tabulator.State) bool {
 	return s == tabulator.StateCompleted || s == tabulator.StateFailed || s == tabulator.StateCancelled
 }
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -26,6 +26,7 @@
 	appendErrors []error
 	written      []tabulator.Record
 	peer         *acceptor.Answer
+	holder       *acceptor.Answer
 	forwarded    []acceptor.Call
 }
 
@@ -68,6 +69,13 @@
 	return *p.peer, true
 }
 
+func (p *place) AskHolder(_ context.Context, _ acceptor.Call) (a acceptor.Answer, ok bool) {
+	if p.holder == nil {
+		return a, false
+	}
+	return *p.holder, true
+}
+
 func (p *place) Event(string, ...any) {}
 
 func (p *place) acceptor() *acceptor.Acceptor {
@@ -117,6 +125,8 @@
 		{"an old configuration without a peer", place{configAge: old}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.NotRun, "", 0},
 		{"an unreadable ledger refuses at once", place{tableAge: old}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.NotRun, "", 0},
 		{"state", place{views: running}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateRunning, 0},
+		{"a live state is asked of the holder", place{views: running, holder: told}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateFailed, 0},
+		{"a holder that doesn't know does not change the answer", place{views: running, holder: &acceptor.Answer{Verdict: acceptor.NoJob}}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateRunning, 0},
 		{"a final state may be old", place{views: completed, tableAge: old}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateCompleted, 0},
 		{"an old state is asked of a peer", place{views: running, tableAge: old, peer: told}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateFailed, 0},
 		{"an old state is better than none", place{views: running, tableAge: old}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateRunning, 0},
--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -113,7 +113,7 @@
 	n.roster = &rosterSwitch{feed: p.Workers, handler: &follower.Roster{Sink: n.loop, Reporter: p.Reporter}}
 	n.storer = &storer{node: n}
 	n.acceptor = &acceptor.Acceptor{
-		Jobs: jobs{n}, Ledger: n.storer, Catalog: n.catalog, Peers: p.Peers, Reporter: p.Reporter,
+		Jobs: jobs{n}, Ledger: n.storer, Catalog: n.catalog, Peers: peers{n}, Reporter: p.Reporter,
 		ConfigFresh: s.ConfigDeadline * 3 / 4, TableFresh: s.Visible / 2,
 	}
 	return n
@@ -124,15 +124,20 @@
 	ledgerWait             = 600 * time.Millisecond
 	holderLedgerInterval   = 30 * time.Millisecond
 	followerLedgerInterval = 200 * time.Millisecond
-	operatorsWait          = time.Second
-	operatorsInterval      = 100 * time.Millisecond
-	workersWait            = time.Second
-	workersInterval        = 300 * time.Millisecond
+	// rearLedgerInterval is for instances that are unlikely to decide next: still
+	// half of the age at which a table is too old for callers.
+	rearLedgerInterval = 600 * time.Millisecond
+	operatorsInterval  = 100 * time.Millisecond
+	workersWait        = time.Second
+	workersInterval    = 300 * time.Millisecond
 )
 
 func (n *Node) ledgerPace() follower.Pace {
-	if n.status.deciding.Load() {
+	switch {
+	case n.status.deciding.Load():
 		return follower.Pace{Wait: ledgerWait, Interval: holderLedgerInterval}
+	case n.status.rear.Load():
+		return follower.Pace{Wait: ledgerWait, Interval: rearLedgerInterval}
 	}
 	return follower.Pace{Wait: ledgerWait, Interval: followerLedgerInterval}
 }
@@ -196,7 +201,7 @@
 		func(ctx context.Context) { n.loop.Run(ctx, dispatcher{n, ctx}) },
 		n.writer.Run, n.ledger.Run, n.register, n.watch,
 		follower.NewReader(n.ports.Operators, n.catalog, func() follower.Pace {
-			return follower.Pace{Wait: operatorsWait, Interval: operatorsInterval}
+			return follower.Pace{Wait: n.settings.ConfigDeadline / 2, Interval: operatorsInterval}
 		}).Run,
 	} {
 		group.Go(func() error {
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -103,7 +103,9 @@
 	loaded   atomic.Bool
 	deciding atomic.Bool
 	leaving  atomic.Bool
-	seeds    atomic.Pointer[[]string]
+	// rear is set while many others would decide before this instance.
+	rear  atomic.Bool
+	seeds atomic.Pointer[[]string]
 }
 
 // rosterSwitch reads the list of workers only while this instance decides.
@@ -200,6 +202,7 @@
 			if m.FreshMS() > 0 {
 				n.status.loaded.Store(true)
 			}
+			n.status.rear.Store(m.Rear())
 			for _, i := range m.Table.Instances {
 				peers[i.Address] = true
 			}
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"daisyhead/internal/workload/acceptor"
 	"daisyhead/internal/workload/follower"
 	"daisyhead/internal/workload/scheduler"
 	"daisyhead/internal/workload/tabulator"
@@ -76,9 +77,8 @@
 	if s.node.status.deciding.Load() {
 		return s.Store(ctx, r)
 	}
-	address := ""
-	s.node.loop.Inspect(ctx, func(m *scheduler.Model) { address = m.HolderAddress() })
-	if address == "" || address == s.node.settings.Peer {
+	address := s.node.holderAddress(ctx)
+	if address == "" {
 		return errNotHolder
 	}
 	err := s.node.ports.Peers.Store(ctx, address, r)
@@ -145,3 +145,33 @@
 		delete(s.waiting, c.Ticket)
 	}
 }
+
+// holderAddress returns where the holder is, or "" if it is not known or is this
+// instance.
+func (n *Node) holderAddress(ctx context.Context) (address string) {
+	n.loop.Inspect(ctx, func(m *scheduler.Model) { address = m.HolderAddress() })
+	if address == n.settings.Peer {
+		return ""
+	}
+	return address
+}
+
+// peers implements acceptor.Peers.
+type peers struct{ node *Node }
+
+// Forward implements acceptor.Peers.
+func (p peers) Forward(ctx context.Context, c acceptor.Call) (acceptor.Answer, bool) {
+	return p.node.ports.Peers.Forward(ctx, c)
+}
+
+// AskHolder implements acceptor.Peers.
+func (p peers) AskHolder(ctx context.Context, c acceptor.Call) (a acceptor.Answer, ok bool) {
+	if p.node.status.deciding.Load() {
+		return a, false
+	}
+	address := p.node.holderAddress(ctx)
+	if address == "" {
+		return a, false
+	}
+	return p.node.ports.Peers.Ask(ctx, address, c)
+}
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -43,7 +43,7 @@
 	maxCallBytes = 2 << 20
 )
 
-// Forwarder asks peers. It implements acceptor.Peers.
+// Forwarder asks peers.
 type Forwarder struct {
 	client *http.Client
 
@@ -74,7 +74,7 @@
 	return picked
 }
 
-// Forward implements acceptor.Peers. A peer that can't serve the call either is
+// Forward asks peers in random order. A peer that can't serve the call either is
 // passed over.
 func (f *Forwarder) Forward(ctx context.Context, c acceptor.Call) (a acceptor.Answer, ok bool) {
 	c.Forwarded = true
@@ -92,6 +92,19 @@
 	return a, false
 }
 
+// askTimeout bounds the holder's answer about a job: the asking instance has an
+// older answer of its own.
+const askTimeout = 250 * time.Millisecond
+
+// Ask passes a call on to the instance at an address.
+func (f *Forwarder) Ask(ctx context.Context, address string, c acceptor.Call) (a acceptor.Answer, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c.Forwarded = true
+	_, err := f.post(ctx, address, Path, c, &a)
+	return a, err == nil
+}
+
 // try asks one peer. sent tells whether the peer may have taken the call.
 func (f *Forwarder) try(ctx context.Context, address string, c acceptor.Call) (a acceptor.Answer, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -76,6 +76,12 @@
 	return int64(min(len(names), maxRank))
 }
 
+// frontRanks is how many instances stay ready to decide next.
+const frontRanks = 5
+
+// Rear reports whether several instances would decide before this one.
+func (m *Model) Rear() bool { return m.rank() >= frontRanks }
+
 // candidatesForTerm lists the instances but the holder: the most powerful
 // first, and those that were started last, which are the surest to be there.
 func (m *Model) candidatesForTerm() []tabulator.Instance {
@@ -92,7 +98,7 @@
 }
 
 // maxRank bounds the delay of the last instance that may claim.
-const maxRank = 6
+const maxRank = 8
 
 func (m *Model) claim(reason string) {
 	m.terms.claiming = true
