Use workers that answer while their entries are missing for a moment

Change: a worker that answers stays fit for 2.5 s after its entry was removed. Test red before.

Ruled out: keeping removed workers without a limit (they may have left).

--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -184,6 +184,31 @@
 	}
 }
 
+// TestEntriesOfLiveWorkersLapse empties the list of workers, as after an outage of
+// the platform, while the workers answer. Urgent work must not wait for the list;
+// once the entries are overdue the workers are not used any more.
+func TestEntriesOfLiveWorkersLapse(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.addWorkers(2, 3)
+	w.startAll()
+	w.run(3000)
+	for _, f := range w.workers {
+		f.unlisted = true
+	}
+	w.run(4000)
+	w.submit("urgent", "a", jobA, gang(2, 8, 1000))
+	w.run(4500)
+	if w.judge.starts != 2 {
+		t.Errorf("%d tasks started within 500 ms, want 2", w.judge.starts)
+	}
+	w.run(8000)
+	w.submit("urgent", "a", jobB, gang(2, 8, 1000))
+	w.run(9000)
+	if w.judge.starts != 2 {
+		t.Errorf("%d tasks started, want 2: workers that are gone were used", w.judge.starts)
+	}
+}
+
 // yieldMS is the time in which another instance has to decide once the holder can't
 // write: less than the silence after which any instance would claim the term.
 const yieldMS = 1200
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -13,6 +13,8 @@
 	describer.Worker
 	// listed is set while the platform lists the worker.
 	listed bool
+	// unlistedMS is when the entry was last removed.
+	unlistedMS int64
 	// heard is set once the worker has answered in this term.
 	heard  bool
 	bornMS int64
@@ -79,7 +81,7 @@
 	}
 	for _, w := range m.fleet {
 		if w.listed && !listed[w.ID] {
-			w.listed = false
+			w.listed, w.unlistedMS = false, m.at.MonoMS
 			m.event("WorkerUnlisted", "Worker", w.ID, "Runs", w.runs.len())
 		}
 	}
@@ -92,7 +94,7 @@
 		if w.runs.len() > 0 && m.at.MonoMS > w.leaseEndMS {
 			m.loseWorker(w, "its lease ran out unanswered")
 		}
-		if !w.listed && w.runs.len() == 0 && !w.inFlight {
+		if !m.present(w) && w.runs.len() == 0 && !w.inFlight {
 			m.forgetWorker(w)
 			continue
 		}
@@ -100,6 +102,15 @@
 	}
 }
 
+// relistMS is how long a worker that answers may be missing from the list: entries
+// that ran out while the platform was away are back within two seconds.
+const relistMS = 2500
+
+// present reports whether the worker is listed, or was so until just now.
+func (m *Model) present(w *worker) bool {
+	return w.listed || w.unlistedMS > 0 && m.at.MonoMS-w.unlistedMS < relistMS
+}
+
 // hold asks the worker for its report and extends its lease.
 func (m *Model) hold(w *worker) {
 	if w.inFlight || w.Address == "" || m.at.MonoMS < w.retryMS {
