--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -33,12 +33,10 @@
 	Seeds          []string
 	Lease          time.Duration
 	GangWait       time.Duration
-	StopTime       time.Duration
 	Retain         time.Duration
 	Grace          time.Duration
 	ConfigDeadline time.Duration
 	Visible        time.Duration
-	SpreadFactor   float64
 }
 
 // Orders speaks to workers.
@@ -102,7 +100,7 @@
 	n := &Node{settings: s, ports: p, start: time.Now(), meter: newMeter(), holder: s.Instance + "/" + uuid.NewString()}
 	model := scheduler.New(scheduler.Config{
 		Instance: s.Instance, Holder: n.holder, Power: s.Power, LeaseMS: s.Lease.Milliseconds(),
-		GangMS: s.GangWait.Milliseconds(), StopMS: s.StopTime.Milliseconds(), RetainMS: s.Retain.Milliseconds(), SpreadFactor: s.SpreadFactor,
+		GangMS: s.GangWait.Milliseconds(), RetainMS: s.Retain.Milliseconds(),
 	})
 	n.loop = scheduler.NewLoop(model, n.start)
 	n.SetSeeds(s.Seeds)
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -29,12 +29,8 @@
 	LeaseMS int64
 	// GangMS is how long tasks of a gang wait for each other.
 	GangMS int64
-	// StopMS is the longest time that a stop takes.
-	StopMS int64
 	// RetainMS is how long an ended job can be asked for.
 	RetainMS int64
-	// SpreadFactor is how much slower a task runs away from its rack.
-	SpreadFactor float64
 }
 
 // Time limits of the control loop, in milliseconds.
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -13,8 +13,6 @@
 	active bool
 	// number is the term that this process holds.
 	number uint64
-	// takenMS is when the term was taken over.
-	takenMS int64
 	// silentSinceMS is when the holder last gave a sign, or when the ledger
 	// became readable again.
 	silentSinceMS int64
@@ -140,7 +138,7 @@
 
 func (m *Model) takeOver() {
 	m.terms.active, m.terms.number = true, m.Table.Term.Number
-	m.terms.takenMS, m.terms.renewedMS, m.terms.renewals, m.terms.yields = m.at.MonoMS, m.at.MonoMS, 0, 0
+	m.terms.renewedMS, m.terms.renewals, m.terms.yields = m.at.MonoMS, 0, 0
 	m.proposer = proposer{sequence: 1}
 	m.workers, m.fleet, m.jobs, m.order, m.ended = map[string]*worker{}, nil, map[string]*job{}, nil, nil
 	m.event("TermTaken", "Term", m.terms.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
