--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -33,6 +33,8 @@
 	// barred is the highest run of a task that ended or was stopped here.
 	barred map[string]int
 	waiter func()
+	// startsMS are the times at which tasks were started here.
+	startsMS []int64
 
 	down     bool
 	cutOff   bool
@@ -191,6 +193,7 @@
 	f.world.judge.began(f, run)
 	run.totalMS = f.world.judge.workMS(run.ref) * max(f.slow, 1)
 	f.runs[c.Task] = run
+	f.startsMS = append(f.startsMS, f.world.nowMS)
 	f.world.gather(run.ref)
 	return scheduler.OrderDone
 }
