Compare racks by what a request needs of them

Cause: a rack's cost was the sum over all of its workers that could take a task, so a rack with one dear worker that was not needed lost against one whose needed workers were dearer.

Change: the cost of the places that the request would take. Two cases in the packer's table, red before.

Ruled out: the cheapest workers of all racks (a gang would span racks).

--- a/internal/workload/packer/packer.go
+++ b/internal/workload/packer/packer.go
@@ -94,42 +94,55 @@
 	return max(count, 0)
 }
 
-// placeInRack takes the cheapest rack that holds the request, and among those
-// the one with the least room left afterwards.
+// rack is a rack as one request sees it.
+type rack struct {
+	nodes      []int
+	fits, free int
+}
+
+// placeInRack takes the rack in which the request costs least, and among those the
+// one with the least room left afterwards.
 func placeInRack(nodes []Node, fits []int, r Request) (places []int, ok bool) {
-	type rack struct {
-		nodes      []int
-		fits, free int
-		cost       float64
+	var best []int
+	bestCost, bestFree := 0.0, 0
+	for _, k := range racks(nodes, fits) {
+		if k.fits < r.Count {
+			continue
+		}
+		found, _ := fill(nodes, fits, r, k.nodes)
+		cost := costOf(nodes, found)
+		if best == nil || cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(k.free, bestFree)) < 0 {
+			best, bestCost, bestFree = found, cost, k.free
+		}
 	}
-	racks := map[string]*rack{}
-	var order []*rack
+	return best, best != nil
+}
+
+// racks groups the nodes by rack, in the order in which racks first appear.
+func racks(nodes []Node, fits []int) (order []*rack) {
+	byName := map[string]*rack{}
 	for i, n := range nodes {
-		if racks[n.Rack] == nil {
-			racks[n.Rack] = &rack{}
-			order = append(order, racks[n.Rack])
+		k := byName[n.Rack]
+		if k == nil {
+			k = &rack{}
+			byName[n.Rack] = k
+			order = append(order, k)
 		}
-		k := racks[n.Rack]
 		k.nodes = append(k.nodes, i)
 		k.fits += fits[i]
 		k.free += n.Free.Accelerators
-		if fits[i] > 0 {
-			k.cost += n.Cost
-		}
 	}
-	var best *rack
-	for _, k := range order {
-		if k.fits < r.Count {
-			continue
-		}
-		if best == nil || cmp.Or(cmp.Compare(k.cost, best.cost), cmp.Compare(k.free, best.free)) < 0 {
-			best = k
+	return order
+}
+
+// costOf adds the costs of the nodes that places use.
+func costOf(nodes []Node, places []int) (cost float64) {
+	for i, p := range places {
+		if i == 0 || places[i-1] != p {
+			cost += nodes[p].Cost
 		}
 	}
-	if best == nil {
-		return nil, false
-	}
-	return fill(nodes, fits, r, best.nodes)
+	return cost
 }
 
 // anyRackHolds reports whether some rack could hold the request if it were empty.
--- a/internal/workload/packer/packer_test.go
+++ b/internal/workload/packer/packer_test.go
@@ -50,6 +50,8 @@
 		{"a gang that no rack could hold spreads", []packer.Node{node("a", 8), node("b", 8)}, packer.Request{Count: 2, Need: need(8), SameRack: true}, []int{0, 1}},
 		{"closed nodes are left out", []packer.Node{closed, node("b", 8)}, packer.Request{Count: 1, Need: need(8)}, []int{1}},
 		{"cheap nodes first", []packer.Node{dear, node("b", 8)}, packer.Request{Count: 1, Need: need(1)}, []int{1}},
+		{"the rack whose needed nodes are cheap", []packer.Node{node("a", 8), dear, dear, dear, node("b", 8)}, packer.Request{Count: 1, Need: need(8), SameRack: true}, []int{0}},
+		{"a rack that costs nothing", []packer.Node{dear, node("a", 8), node("b", 8), node("b", 8)}, packer.Request{Count: 2, Need: need(8), SameRack: true}, []int{2, 3}},
 		{"not all fit", []packer.Node{node("a", 8)}, packer.Request{Count: 9, Need: need(1)}, nil},
 		{"a label", []packer.Node{node("a", 8), node("b", 8)}, packer.Request{Count: 1, Need: need(1), RequireLabel: "b"}, []int{1}},
 		{"the rack of the data", []packer.Node{node("a", 1), node("b", 8)}, packer.Request{Count: 1, Need: need(1), PreferRack: "b"}, []int{1}},
