Let kept room starve nobody while most of the fleet is idle

Small tasks were scattered over all racks but those that were kept for urgent work.

Change: what finds no place may use kept workers while more than half of the fleet is free; perpetual tasks may always.

Ruled out: a time limit for waiting (the room would be needed by the next urgent job just then).

--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -122,6 +122,32 @@
 	}
 }
 
+// TestKeptRoomStarvesNobody lets a gang need the only rack without scattered small
+// tasks, part of which is kept for urgent work, while most of the fleet is idle. A
+// perpetual task must find room in any case.
+func TestKeptRoomStarvesNobody(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.addWorkers(2, 4)
+	w.startAll()
+	w.run(3000)
+	scattered := tasks(4, 1, 60000)
+	scattered.RequireLabel, scattered.MaxPerWorker = "r1", 1
+	w.submit("batch", "b", jobB, scattered)
+	w.run(4000)
+	w.submit("render", "a", jobA, gang(4, 8, 2000))
+	w.run(4000 + reclaimMS)
+	w.expectBegun(t, jobA, reclaimMS)
+	w.run(20000)
+	w.submit("batch", "b", "cccccccccccccccc", tasks(40, 1, 60000))
+	w.run(21000)
+	perpetual := tasks(1, 8, 60000)
+	perpetual.Perpetual = true
+	w.submit("render", "a", "dddddddddddddddd", perpetual)
+	w.run(21000 + reclaimMS)
+	w.expectBegun(t, "dddddddddddddddd", reclaimMS)
+	w.expectKept(t)
+}
+
 // TestWideGangAmongSmallTasks offers a gang that needs a whole rack while small
 // tasks keep coming.
 func TestWideGangAmongSmallTasks(t *testing.T) {
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -19,15 +19,18 @@
 	others []packer.Node
 	// used counts each workspace's accelerators in jobs of priority 0.
 	used map[string]int
+	// idle counts the free accelerators of open workers, total all accelerators.
+	idle, total int
 	// failed holds the requests that found no place.
 	failed map[shape]bool
 }
 
 // shape is what decides whether a request finds a place.
 type shape struct {
-	service string
-	urgent  bool
-	request packer.Request
+	service   string
+	urgent    bool
+	perpetual bool
+	request   packer.Request
 }
 
 // pass places waiting units while there is room, the most valuable first.
@@ -114,7 +117,7 @@
 // placeStep places as many of the step's waiting units as fit.
 func (m *Model) placeStep(p *plan, c candidate) {
 	r := request(c.step)
-	sh := shape{service: c.queue.Service, urgent: c.queue.Priority == 0, request: r}
+	sh := shape{service: c.queue.Service, urgent: c.queue.Priority == 0, perpetual: c.step.spec.Perpetual, request: r}
 	if p.failed[sh] {
 		m.noteWaiting(c.step.job, "no room")
 		return
@@ -129,6 +132,10 @@
 			open = m.permitted(p, c, open, r)
 		}
 		places, ok := packer.Place(open, r)
+		if !ok && !sh.urgent && p.mostlyIdle() {
+			// Wide gangs may need just the racks that are kept free.
+			places, ok = packer.Place(p.opened(open, c), r)
+		}
 		if !ok && sh.urgent {
 			if places, ok = m.preempt(p, open, c, r); ok {
 				// The victims' room is free once their ends are listed.
@@ -169,12 +176,29 @@
 	return others
 }
 
+// mostlyIdle reports whether more than half of the fleet is free.
+func (p *plan) mostlyIdle() bool { return p.idle*2 > p.total }
+
+// opened returns the nodes as a step that is not urgent sees them, with those that
+// are kept free opened.
+func (p *plan) opened(nodes []packer.Node, c candidate) []packer.Node {
+	all := slices.Clone(nodes)
+	for i, w := range p.workers {
+		kept := p.others[i].Closed && !p.nodes[i].Closed
+		if kept && w.Service == c.queue.Service && !c.queue.Advised {
+			all[i].Closed = false
+		}
+	}
+	return all
+}
+
 // take marks room as used for the rest of the pass, in all views of the nodes.
 func (p *plan) take(nodes []packer.Node, places []int, r packer.Request) {
 	for _, i := range places {
 		p.nodes[i].Free = p.nodes[i].Free.Sub(r.Need)
 		nodes[i].Free = p.nodes[i].Free
 		nodes[i].Taken++
+		p.idle -= r.Need.Accelerators
 		if p.others != nil {
 			p.others[i].Free = p.nodes[i].Free
 		}
@@ -195,7 +219,8 @@
 // nodesFor returns the nodes as the step sees them.
 func (m *Model) nodesFor(p *plan, s *step, q describer.Queue) []packer.Node {
 	nodes := p.nodes
-	if q.Priority > 0 {
+	// A task that should always run is not kept out of free room.
+	if q.Priority > 0 && !s.spec.Perpetual {
 		nodes = p.others
 	}
 	foreign := slices.ContainsFunc(p.workers, func(w *worker) bool { return w.Service != q.Service })
@@ -238,11 +263,14 @@
 // that a gang fits into one of them.
 func (p *plan) keepFree() {
 	p.others = slices.Clone(p.nodes)
-	total := 0
+	total, idle := 0, 0
 	free := map[string]int{}
 	var empty []int
 	for i, n := range p.nodes {
 		total += n.Room.Accelerators
+		if !n.Closed {
+			idle += n.Free.Accelerators
+		}
 		if !n.Closed && n.Free == n.Room {
 			empty = append(empty, i)
 			free[n.Rack] += n.Free.Accelerators
@@ -252,6 +280,7 @@
 		x, y := p.nodes[a].Rack, p.nodes[b].Rack
 		return cmp.Or(cmp.Compare(free[y], free[x]), cmp.Compare(x, y))
 	})
+	p.idle, p.total = idle, total
 	want := total / keptShare
 	for _, i := range empty {
 		if want <= 0 {
