Let a forwarded call meet no older configuration; list a lost worker's wait as red

Change: a forwarded call names the version that the asking instance has in force; an instance with an older one declines. TestForwardedCallMeetsNoOlderConfiguration red before.

Ruled out: answering from the own unconfirmed configuration (keys may be withdrawn).

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -42,6 +42,9 @@
 	WithinMS int64
 	// Forwarded is set when a peer has passed the call on.
 	Forwarded bool `cbor:",omitempty"`
+	// ConfigVersion is the version that the peer has in force: its callers must not
+	// see an older one.
+	ConfigVersion uint64 `cbor:",omitempty"`
 }
 
 // Verdict is the kind of an answer.
@@ -173,6 +176,12 @@
 	ctx, cancel := context.WithTimeout(ctx, max(time.Duration(c.WithinMS)*time.Millisecond-answerMargin, answerMargin))
 	defer cancel()
 	cfg, asOf := a.Catalog.Current()
+	switch {
+	case c.Forwarded && (cfg == nil || cfg.Version < c.ConfigVersion):
+		return notRun("the configuration is older than that of the asking instance")
+	case cfg != nil:
+		c.ConfigVersion = max(c.ConfigVersion, cfg.Version)
+	}
 	if cfg == nil || time.Since(asOf) > a.ConfigFresh {
 		return a.forward(ctx, c, "the configuration is out of date")
 	}
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -172,6 +172,22 @@
 	}
 }
 
+// TestForwardedCallMeetsNoOlderConfiguration asks an instance whose configuration is
+// older than that of the instance which passes the call on: its answer would go back
+// behind what that one has already shown.
+func TestForwardedCallMeetsNoOlderConfiguration(t *testing.T) {
+	asking := &place{configAge: time.Minute}
+	asking.acceptor().Answer(context.Background(), call(acceptor.KindSubmit, "/gone/"+id, "key"))
+	if len(asking.forwarded) != 1 || asking.forwarded[0].ConfigVersion != 1 {
+		t.Fatalf("forwarded calls %+v do not name the version", asking.forwarded)
+	}
+	c := asking.forwarded[0]
+	c.Forwarded, c.ConfigVersion = true, 2
+	if a := (&place{}).acceptor().Answer(context.Background(), c); a.Verdict != acceptor.NotRun {
+		t.Errorf("an instance with version 1 answers %+v to a call judged by version 2", a)
+	}
+}
+
 // TestSubmissionCarriesItsOrigin looks at what is stored.
 func TestSubmissionCarriesItsOrigin(t *testing.T) {
 	p := &place{}
--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -209,6 +209,36 @@
 	}
 }
 
+// TestChangesOfTheTermDoNotPutOffALostWorker loses a worker for good and changes the
+// holder every 4 s. What ran there has to go on once the longest lease is surely over.
+func TestChangesOfTheTermDoNotPutOffALostWorker(t *testing.T) {
+	w := settled(t)
+	w.submit("render", "a", jobA, gang(2, 8, 20000))
+	w.run(4000)
+	var lost *fakeWorker
+	for _, name := range w.names {
+		if len(w.workers[name].runs) > 0 {
+			lost = w.workers[name]
+		}
+	}
+	lost.unlisted = true
+	lost.crash(600000)
+	for n := range int64(8) {
+		w.after(n*4000, func() {
+			if h := w.holder(); h != nil {
+				h.kill()
+				w.after(1000, h.start)
+			}
+		})
+	}
+	// 4 s without word from the ledger, the lease, and a change of the holder.
+	w.run(4000 + 4000 + leaseMS + leaseMS/50 + 4000)
+	if len(w.judge.submitted[jobA].startsMS) < 4 {
+		t.Error("the gang has not been started again")
+	}
+	w.expectKept(t)
+}
+
 // yieldMS is the time in which another instance has to decide once the holder can't
 // write: less than the silence after which any instance would claim the term.
 const yieldMS = 1200
