Go on with the wait for a lost worker over changes of the term

Change: a holder records workers with tasks that it has not reached, with the first term of the row and its age, and drops the record before it grants a lease there. A successor counts from the first term of the row.

--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -209,10 +209,11 @@
 	}
 }
 
-// TestChangesOfTheTermDoNotPutOffALostWorker loses a worker for good and changes the
-// holder every 4 s. What ran there has to go on once the longest lease is surely over.
+// TestChangesOfTheTermDoNotPutOffALostWorker loses a worker for good and cuts the
+// holder off from the ledger every 4 s, so that another instance takes over each time. What ran there has to go on once the longest lease is surely over.
 func TestChangesOfTheTermDoNotPutOffALostWorker(t *testing.T) {
 	w := settled(t)
+	w.traceJob(*traced)
 	w.submit("render", "a", jobA, gang(2, 8, 20000))
 	w.run(4000)
 	var lost *fakeWorker
@@ -226,8 +227,8 @@
 	for n := range int64(8) {
 		w.after(n*4000, func() {
 			if h := w.holder(); h != nil {
-				h.kill()
-				w.after(1000, h.start)
+				h.cutOff = true
+				w.after(3500, func() { h.cutOff = false })
 			}
 		})
 	}
@@ -387,7 +388,7 @@
 	}
 	w.trace = func(instance string, e scheduler.EventCmd) {
 		line := fmt.Sprint(e.Name, e.Fields)
-		if strings.Contains(line, id) || strings.HasPrefix(line, "Term") || strings.HasPrefix(line, "WorkerLost") {
+		if strings.Contains(line, id) || strings.HasPrefix(line, "Term") || strings.HasPrefix(line, "WorkerLost") || strings.HasPrefix(line, "WorkerUnheard") {
 			fmt.Println(w.nowMS, instance, line)
 		}
 	}
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -92,9 +92,11 @@
 	freshMS int64
 	leaving bool
 
-	terms    terms
-	proposer proposer
-	workers  map[string]*worker
+	terms terms
+	// termSeenMS is when this process first saw each term.
+	termSeenMS map[uint64]int64
+	proposer   proposer
+	workers    map[string]*worker
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
@@ -119,7 +121,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: tabulator.New(), Config: &describer.Configuration{}, cfg: cfg,
-		freshMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{}, storing: map[uint64]bool{},
+		freshMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{}, storing: map[uint64]bool{}, termSeenMS: map[uint64]int64{},
 	}
 }
 
@@ -236,6 +238,7 @@
 			m.event("LedgerRecordSkipped", "Offset", offset, "Error", err.Error())
 			continue
 		}
+		m.noteTerm()
 		m.follow(r)
 	}
 	if msg.CaughtUp {
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -111,7 +111,7 @@
 // fit reports whether the worker may be given new tasks.
 func (m *Model) fit(w *worker) bool {
 	silent := w.failures > 0 || m.at.MonoMS-w.clockAtMS > deafMS
-	return m.present(w) && w.heard && !silent && !w.Draining && m.at.MonoMS >= w.avoidMS && !m.suspected(w) && !m.Config.Closed[w.Domain]
+	return m.present(w) && w.heard && !w.notedUnheard && !silent && !w.Draining && m.at.MonoMS >= w.avoidMS && !m.suspected(w) && !m.Config.Closed[w.Domain]
 }
 
 // placeStep places as many of the step's waiting units as fit.
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -16,7 +16,8 @@
 		m.event("WorkerHeard", "Worker", w.ID, "Running", len(p.Running), "Ended", len(p.Ended), "Failures", w.failures)
 		m.dirty = true
 	}
-	w.heard, w.failures = true, 0
+	w.heard, w.heardInTerm, w.failures = true, true, 0
+	m.clearUnheard(w)
 	w.bornMS, w.clockMS, w.clockAtMS = p.BornMS, p.ClockMS, m.at.MonoMS
 	present := map[TaskRef]bool{}
 	slices.SortFunc(p.Ended, func(a, b EndReport) int { return cmp.Compare(a.Number, b.Number) })
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -69,7 +69,7 @@
 
 func (m *Model) sendStart(r *run) {
 	w, u := r.worker, r.unit
-	if r.busy || !w.heard || !m.fresh() {
+	if r.busy || !w.heard || w.notedUnheard || !m.fresh() {
 		return
 	}
 	r.state, r.busy, r.orderMS = runSent, true, m.at.MonoMS
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -19,6 +19,8 @@
 	claiming      bool
 	// claimAgainMS is when the next claim may be sent.
 	claimAgainMS int64
+	// takenMS is when the term was taken over.
+	takenMS int64
 	// yielded is the term whose holder has asked this instance to take over.
 	yielded uint64
 	// yieldMS is when the holder last asked another instance to take over, and
@@ -128,6 +130,7 @@
 // followTerm takes over when this process has become the holder, and steps down
 // when another has.
 func (m *Model) followTerm() {
+	m.noteTerm()
 	switch {
 	case m.holds() && !m.terms.active && !m.leaving && m.terms.number < m.Table.Term.Number:
 		m.takeOver()
@@ -138,7 +141,7 @@
 
 func (m *Model) takeOver() {
 	m.terms.active, m.terms.number = true, m.Table.Term.Number
-	m.terms.renewedMS, m.terms.renewals, m.terms.yields = m.at.MonoMS, 0, 0
+	m.terms.takenMS, m.terms.renewedMS, m.terms.renewals, m.terms.yields = m.at.MonoMS, m.at.MonoMS, 0, 0
 	m.proposer = proposer{sequence: 1}
 	m.workers, m.fleet, m.jobs, m.order, m.ended = map[string]*worker{}, nil, map[string]*job{}, nil, nil
 	m.event("TermTaken", "Term", m.terms.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -14,9 +14,18 @@
 	listed bool
 	// unlistedMS is when the entry was last removed.
 	unlistedMS int64
-	// heard is set once the worker has answered in this term.
-	heard  bool
-	bornMS int64
+	// heard is set once this life of the worker has answered in this term,
+	// heardInTerm once any has.
+	heard       bool
+	heardInTerm bool
+	// unreachedMS is since when no earlier holder can have granted a lease.
+	unreachedMS int64
+	// notedUnheard is set while the ledger says that the worker was not reached in
+	// this term, clearing while that is being taken back.
+	notedUnheard bool
+	notedMS      int64
+	clearing     bool
+	bornMS       int64
 	// clockMS was the worker's clock at clockAtMS, monotonic time, or earlier.
 	clockMS   int64
 	clockAtMS int64
@@ -42,7 +51,8 @@
 	w, ok := m.workers[id]
 	if !ok {
 		w = &worker{Worker: describer.Worker{ID: id}, ends: map[int64]bool{}}
-		w.leaseEndMS = m.at.MonoMS + blindMS + withDrift(m.cfg.LeaseMS)
+		w.unreachedMS = m.unreachedSince(id)
+		w.leaseEndMS = w.unreachedMS + blindMS + withDrift(m.cfg.LeaseMS)
 		m.workers[id] = w
 		i, _ := slices.BinarySearchFunc(m.fleet, id, func(w *worker, id string) int { return cmp.Compare(w.ID, id) })
 		m.fleet = slices.Insert(m.fleet, i, w)
@@ -51,6 +61,7 @@
 }
 
 func (m *Model) forgetWorker(w *worker) {
+	m.clearUnheard(w)
 	delete(m.workers, w.ID)
 	m.fleet = slices.DeleteFunc(m.fleet, func(o *worker) bool { return o == w })
 }
@@ -89,6 +100,7 @@
 // watchWorkers keeps a hold in flight with each worker and gives up what a
 // silent worker ran once its lease is surely over.
 func (m *Model) watchWorkers() {
+	m.noteUnheard()
 	for _, w := range slices.Clone(m.fleet) {
 		if w.runs.len() > 0 && m.at.MonoMS > w.leaseEndMS {
 			m.loseWorker(w, "its lease ran out unanswered")
@@ -120,7 +132,7 @@
 	cmd := HoldCmd{Worker: w.ID, Address: w.Address, Sequence: w.sequence, Term: m.terms.number, ConfirmedEnd: w.confirmed}
 	if w.heard && w.failures == 0 {
 		cmd.WaitMS = m.patience(w)
-		if m.sure() && w.runs.len() > 0 {
+		if m.sure() && w.runs.len() > 0 && !w.notedUnheard {
 			cmd.DeadlineMS = m.grant(w)
 		}
 	}
--- a/internal/workload/tabulator/records.go
+++ b/internal/workload/tabulator/records.go
@@ -35,6 +35,7 @@
 	kindUnit       = "unit"
 	kindOutcome    = "outcome"
 	kindInstance   = "instance"
+	kindUnheard    = "unheard"
 	// keyTerm is the one key without an identifier.
 	keyTerm = "term"
 )
@@ -73,6 +74,19 @@
 	Power int
 }
 
+// Unheard is written by a holder for a worker that it has not reached in its term:
+// it has granted no lease there, and drops the record before it grants one. A
+// successor so knows since when a lease can't have been extended.
+type Unheard struct {
+	// FirstTerm is the first of the terms in a row whose holders did not reach the
+	// worker, LastTerm the latest.
+	FirstTerm uint64
+	LastTerm  uint64
+	// AgeMS is how long before the record was written no lease could be granted
+	// any more, at least.
+	AgeMS int64
+}
+
 // Phase is where a unit of work stands.
 type Phase string
 
@@ -168,6 +182,12 @@
 // InstanceRecord returns the record of an instance.
 func InstanceRecord(i Instance) Record { return encode(kindInstance+"/"+i.Name, i) }
 
+// UnheardRecord returns the record of a worker that is not reached.
+func UnheardRecord(worker string, u Unheard) Record { return encode(kindUnheard+"/"+worker, u) }
+
+// DropUnheard returns the record that forgets that a worker was not reached.
+func DropUnheard(worker string) Record { return Record{Key: kindUnheard + "/" + worker} }
+
 // UnitRecord returns the record of a unit.
 func UnitRecord(id UnitID, u Unit) Record { return encode(kindUnit+"/"+id.String(), u) }
 
@@ -187,7 +207,7 @@
 // IsHolders reports whether only the holder of the term writes such records.
 func IsHolders(r Record) bool {
 	kind, _, _ := strings.Cut(r.Key, "/")
-	return kind == keyTerm || kind == kindUnit || kind == kindOutcome
+	return kind == keyTerm || kind == kindUnit || kind == kindOutcome || kind == kindUnheard
 }
 
 // JobOf returns the job that a caller's record is about.
--- a/internal/workload/tabulator/table.go
+++ b/internal/workload/tabulator/table.go
@@ -17,6 +17,8 @@
 	// Started holds the offsets of the instances' records: a larger one belongs
 	// to a process that was started later.
 	Started map[string]uint64
+	// Unheard holds the workers that holders have not reached.
+	Unheard map[string]Unheard
 	// Pending counts, for each queue, the live jobs without a started task.
 	Pending map[string]int
 }
@@ -37,7 +39,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{Jobs: map[string]*Job{}, Instances: map[string]Instance{}, Started: map[string]uint64{}, Pending: map[string]int{}}
+	return &Table{Jobs: map[string]*Job{}, Instances: map[string]Instance{}, Started: map[string]uint64{}, Unheard: map[string]Unheard{}, Pending: map[string]int{}}
 }
 
 // State returns what callers see of the job.
@@ -73,6 +75,8 @@
 		return t.applyJob(kind, name, r)
 	case kindUnit:
 		return t.applyUnit(name, r)
+	case kindUnheard:
+		return t.applyUnheard(name, r)
 	}
 	return errors.Wrapf(ErrUnreadable, "key %q", r.Key)
 }
@@ -86,6 +90,19 @@
 	return nil
 }
 
+func (t *Table) applyUnheard(worker string, r Record) error {
+	delete(t.Unheard, worker)
+	if len(r.Value) == 0 {
+		return nil
+	}
+	var u Unheard
+	if err := decode(r, &u); err != nil {
+		return err
+	}
+	t.Unheard[worker] = u
+	return nil
+}
+
 func (t *Table) applyInstance(offset uint64, name string, r Record) error {
 	if len(r.Value) == 0 {
 		delete(t.Instances, name)
