Restore a check that was made milder, rebuild one that could not fail

TestLateStartOutlivesCrash no longer caused its case: the fake worker lost a hold that arrived during a crash, so the task waited 7.7 s for its lease instead.

Change: the killed holder is back with its bound, the cut holder is a test of its own; a hold without an answer fails after the time limit that real connections have; the late start is caused after the crash and counted as a case only then.

--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -52,52 +52,45 @@
 
 func (f *fakeWorker) clock() int64 { return f.world.nowMS + 1000 }
 
-// take answers a hold, at once or when an end comes.
+// take answers a hold, at once or when an end comes. A hold that is not answered
+// fails after the asking instance's time limit, as with real connections.
 func (f *fakeWorker) take(i *instance, c scheduler.HoldCmd, hold func(scheduler.HoldCmd) (scheduler.WorkerReport, scheduler.OrderResult)) {
 	w := f.world
 	life := i.life
+	answered := false
+	send := func(msg scheduler.HeldMsg) {
+		if i.life == life {
+			msg.Worker, msg.Sequence = f.id, c.Sequence
+			i.send(msg)
+		}
+	}
 	answer := func() {
-		if f.down || f.cutOff {
+		if answered || f.down || f.cutOff {
 			return
 		}
+		answered = true
 		report, result := hold(c)
-		w.after(w.orderWayMS, func() {
-			if i.life == life {
-				i.send(scheduler.HeldMsg{Worker: f.id, Sequence: c.Sequence, Result: result, Report: report})
-			}
-		})
-	}
-	if f.down || f.cutOff {
-		i.reply(c.WaitMS+timeoutMS, func() scheduler.Msg {
-			return scheduler.HeldMsg{Worker: f.id, Sequence: c.Sequence, Result: scheduler.OrderUnknown, Err: "no answer"}
-		})
-		return
+		w.after(w.orderWayMS, func() { send(scheduler.HeldMsg{Result: result, Report: report}) })
 	}
+	w.after(c.WaitMS+timeoutMS, func() {
+		if !answered {
+			answered = true
+			send(scheduler.HeldMsg{Result: scheduler.OrderUnknown, Err: "no answer"})
+		}
+	})
 	w.after(w.orderWayMS, func() {
-		if c.Term >= f.token && !f.down && !f.cutOff {
+		if f.down || f.cutOff {
+			return
+		}
+		if c.Term >= f.token {
 			hold(c)
 		}
 		if c.WaitMS == 0 || len(f.ends) > 0 || c.Term < f.token {
 			answer()
 			return
 		}
-		done := false
-		once := func() {
-			if !done && !f.down && !f.cutOff {
-				done = true
-				answer()
-			}
-		}
-		f.waiter = once
-		w.after(c.WaitMS, once)
-		w.after(c.WaitMS+timeoutMS, func() {
-			if !done {
-				done = true
-				if i.life == life {
-					i.send(scheduler.HeldMsg{Worker: f.id, Sequence: c.Sequence, Result: scheduler.OrderUnknown, Err: "no answer"})
-				}
-			}
-		})
+		f.waiter = answer
+		w.after(c.WaitMS, answer)
 	})
 }
 
--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -209,9 +209,26 @@
 	}
 }
 
-// TestChangesOfTheTermDoNotPutOffALostWorker loses a worker for good and cuts the
-// holder off from the ledger every 4 s, so that another instance takes over each time. What ran there has to go on once the longest lease is surely over.
+// TestChangesOfTheTermDoNotPutOffALostWorker loses a worker for good and changes the
+// holder every 4 s. What ran there has to go on once the longest lease is surely over.
 func TestChangesOfTheTermDoNotPutOffALostWorker(t *testing.T) {
+	playLostWorker(t, func(w *world, h *instance) {
+		h.kill()
+		w.after(1000, h.start)
+	})
+}
+
+// TestCutHoldersDoNotPutOffALostWorker is the same with holders that are cut off from
+// the ledger for a while: their successors have seen the terms before.
+func TestCutHoldersDoNotPutOffALostWorker(t *testing.T) {
+	playLostWorker(t, func(w *world, h *instance) {
+		h.cutOff = true
+		w.after(3500, func() { h.cutOff = false })
+	})
+}
+
+func playLostWorker(t *testing.T, depose func(*world, *instance)) {
+	t.Helper()
 	w := settled(t)
 	w.traceJob(*traced)
 	w.submit("render", "a", jobA, gang(2, 8, 20000))
@@ -227,8 +244,7 @@
 	for n := range int64(8) {
 		w.after(n*4000, func() {
 			if h := w.holder(); h != nil {
-				h.cutOff = true
-				w.after(3500, func() { h.cutOff = false })
+				depose(w, h)
 			}
 		})
 	}
@@ -373,9 +389,11 @@
 	}
 }
 
-// failedSeeds failed once: runs of a reborn worker that were taken for lost (347, 519,
-// 920, 1563, 2398), starts on a table from before a suspension (122, 272, 327, 568, 750,
-// 752, 1127, 1136, 1255).
+// failedSeeds failed once. Traced: runs of a reborn worker that were taken for lost
+// (347, 519, 920, 1563), a start that outlives a crash (2398), a start on a table from
+// before a suspension (752), an order carried out late, for which no time bound holds
+// (327). The others passed after the same changes and were not traced one by one. They
+// were found on earlier forms of this schedule, which drew other faults from them.
 var failedSeeds = []uint64{122, 272, 327, 347, 519, 568, 750, 752, 920, 1127, 1136, 1255, 1563, 2398}
 
 func TestScheduleSeedsThatFailed(t *testing.T) {
@@ -406,9 +424,10 @@
 }
 
 // TestLateStartOutlivesCrash lets starts go unanswered until they are given up, and
-// their worker crash after it has confirmed the stop. What the next life of the
-// worker carries out late must not run beside the task's new run.
+// their worker crash once it has confirmed the stop and the task has a new place. What
+// the next life of the worker carries out late must not run beside the new run.
 func TestLateStartOutlivesCrash(t *testing.T) {
+	cases := 0
 	for seed := range uint64(10) {
 		w := newWorld(t, seed, 3)
 		w.addWorkers(2, 3)
@@ -419,13 +438,23 @@
 		w.submit("render", "a", jobA, tasks(1, 8, 20000))
 		w.run(5100)
 		w.lateOrders = 0
-		w.run(6500)
+		w.run(6700)
+		crashed := 0
 		for _, f := range w.workers {
-			if len(f.barred) > 0 && len(f.runs) == 0 {
+			if len(f.barred) > 0 {
 				f.crash(100)
+				crashed++
 			}
 		}
+		if crashed != 1 || w.judge.starts != 1 {
+			// A start was carried out before its stop: another case.
+			continue
+		}
+		cases++
 		w.run(40000)
 		w.expectKept(t)
 	}
+	if cases < 5 {
+		t.Errorf("%d of 10 seeds cause the case, want 5", cases)
+	}
 }
