Let the router's fake claims wait as the claimer does

The router streams an answer and then records its outcome; a repeat that comes in between finds a claim that stands. The claimer waits for it to end, the test's fake did not.

Change: the fake waits as its interface says, and its End is delayed, so that the repeat always comes first. The expectations are as they were.

--- a/internal/traffic/router/router_test.go
+++ b/internal/traffic/router/router_test.go
@@ -124,23 +124,47 @@
 // claims is a ledger of one process.
 type claims struct {
 	mu   sync.Mutex
-	held map[string]*reducer.Claim
+	held map[string]*standing
 }
 
-func (c *claims) Claim(_ context.Context, r claimer.Request) (*reducer.Claim, error) {
+// standing is a claim; done is closed once it has ended.
+type standing struct {
+	claim reducer.Claim
+	done  chan struct{}
+}
+
+// endDelay lets a caller's repeat come before the outcome is recorded: the answer
+// is streamed first.
+const endDelay = 5 * time.Millisecond
+
+// Claim returns a standing claim once that has ended, or the context ends.
+func (c *claims) Claim(ctx context.Context, r claimer.Request) (*reducer.Claim, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if old, ok := c.held[r.Key]; ok {
-		return old, nil
+	old, ok := c.held[r.Key]
+	if !ok {
+		c.held[r.Key] = &standing{claim: reducer.Claim{Outcome: encoder.OutcomeUnknown}, done: make(chan struct{})}
 	}
-	c.held[r.Key] = &reducer.Claim{Outcome: encoder.OutcomeUnknown}
-	return nil, nil
+	c.mu.Unlock()
+	if !ok {
+		return nil, nil
+	}
+	select {
+	case <-old.done:
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	claim := old.claim
+	return &claim, nil
 }
 
 func (c *claims) End(r claimer.Request, e claimer.Ending) {
+	time.Sleep(endDelay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held[r.Key] = &reducer.Claim{Ended: true, Outcome: e.Outcome, Status: e.Status, Body: e.Body, Type: e.Type, Truncated: e.Truncated, Reason: e.Reason}
+	held := c.held[r.Key]
+	held.claim = reducer.Claim{Ended: true, Outcome: e.Outcome, Status: e.Status, Body: e.Body, Type: e.Type, Truncated: e.Truncated, Reason: e.Reason}
+	close(held.done)
 }
 
 type accessLog struct{}
@@ -150,7 +174,7 @@
 func newRouter(address string) *router.Router {
 	shared, once := router.NewTransports(8)
 	return &router.Router{
-		Limiter: newSlots(address), Claimer: &claims{held: map[string]*reducer.Claim{}}, Log: accessLog{},
+		Limiter: newSlots(address), Claimer: &claims{held: map[string]*standing{}}, Log: accessLog{},
 		Shared: shared, Once: once, Budget: router.NewBudget(1000),
 	}
 }
