Move work off hung, slow and leaving workers, keep the room that urgent work waits for

Change: forecaster follows each run's reports; a run that stands still or has become three times as slow makes its worker suspect and moves if callers get more of its job that way, or if its checkpoint makes that faster. What can't end before a worker leaves moves at once. Room that an urgent unit waits for is booked until the unit is placed, and runs that end by themselves before a stop would are not stopped.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -33,6 +33,7 @@
 	Seeds          []string
 	Lease          time.Duration
 	GangWait       time.Duration
+	Stop           time.Duration
 	Retain         time.Duration
 	Grace          time.Duration
 	ConfigDeadline time.Duration
@@ -100,7 +101,7 @@
 	n := &Node{settings: s, ports: p, start: time.Now(), meter: newMeter(), holder: s.Instance + "/" + uuid.NewString()}
 	model := scheduler.New(scheduler.Config{
 		Instance: s.Instance, Holder: n.holder, Power: s.Power, LeaseMS: s.Lease.Milliseconds(),
-		GangMS: s.GangWait.Milliseconds(), RetainMS: s.Retain.Milliseconds(),
+		GangMS: s.GangWait.Milliseconds(), StopMS: s.Stop.Milliseconds(), RetainMS: s.Retain.Milliseconds(),
 	})
 	n.loop = scheduler.NewLoop(model, n.start)
 	n.SetSeeds(s.Seeds)
--- a/internal/workload/ranker/ranker.go
+++ b/internal/workload/ranker/ranker.go
@@ -46,6 +46,25 @@
 	}
 }
 
+// The credits of a job, from least to most.
+const (
+	CreditNone = iota
+	CreditLate
+	CreditFull
+)
+
+// Credit returns what callers get of a job that ends at in.NowMS.
+func Credit(in Input) int {
+	objective := int64(in.Stretch*float64(Chain(in.Steps))) + in.ObjectiveMS
+	switch took := in.NowMS - in.AcceptedMS; {
+	case took <= objective:
+		return CreditFull
+	case took <= lateFactor*objective:
+		return CreditLate
+	}
+	return CreditNone
+}
+
 // Compare returns a negative number when a goes before b.
 func Compare(a, b Key) int {
 	return cmp.Or(
--- a/internal/workload/ranker/ranker_test.go
+++ b/internal/workload/ranker/ranker_test.go
@@ -39,3 +39,24 @@
 		t.Errorf("the longest chain takes %d ms, want 510", got)
 	}
 }
+
+func TestCredit(t *testing.T) {
+	in := ranker.Input{Steps: []describer.Step{{EstimateMS: 2000}}, Stretch: 1.5, ObjectiveMS: 1000, AcceptedMS: 100}
+	for _, c := range []struct {
+		name   string
+		tookMS int64
+		want   int
+	}{
+		{"in time", 4000, ranker.CreditFull},
+		{"late", 4001, ranker.CreditLate},
+		{"just worth something", 12000, ranker.CreditLate},
+		{"too late", 12001, ranker.CreditNone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in.NowMS = in.AcceptedMS + c.tookMS
+			if diff := cmp.Diff(c.want, ranker.Credit(in)); diff != "" {
+				t.Errorf("credit (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -16,6 +16,10 @@
 	workingMS int64
 	totalMS   int64
 	stopping  bool
+	// complete is set once the work is done; a gang ends when all members are.
+	complete bool
+	// plans counts the times at which the end of the work was planned anew.
+	plans int
 }
 
 // fakeWorker is a worker that obeys leases and fencing tokens and guards nothing.
@@ -46,6 +50,10 @@
 	fails bool
 	// slow multiplies the time that work takes.
 	slow int64
+	// hungUntilMS is until when work stands still.
+	hungUntilMS int64
+	// stopped counts the tasks that were ended by an order.
+	stopped int
 }
 
 func name(ref scheduler.TaskRef) string {
@@ -210,6 +218,7 @@
 	run.stopping = true
 	f.world.after(stopTimeMS, func() {
 		if f.runs[c.Task] == run {
+			f.stopped++
 			f.end(run, scheduler.EndStopped)
 		}
 	})
@@ -220,7 +229,47 @@
 	if run.workingMS < 0 {
 		return run.workedMS
 	}
-	return run.workedMS + f.world.nowMS - run.workingMS
+	return min(run.workedMS+max(f.world.nowMS-run.workingMS, 0), run.totalMS)
+}
+
+// hang lets all work stand still for a while.
+func (f *fakeWorker) hang(forMS int64) {
+	f.hungUntilMS = f.world.nowMS + forMS
+	for _, run := range f.sorted() {
+		if run.workingMS >= 0 && !run.complete {
+			run.workedMS = f.progress(run)
+			f.plan(run)
+		}
+	}
+}
+
+// plan lets the rest of a run's work begin as soon as the worker can, and end.
+func (f *fakeWorker) plan(run *fakeRun) {
+	run.workingMS = max(f.world.nowMS, f.hungUntilMS)
+	run.plans++
+	plan := run.plans
+	left, kind := run.totalMS-run.workedMS, scheduler.EndDone
+	if f.fails || f.world.judge.fails(run.ref) {
+		left, kind = min(left, 200), scheduler.EndFailed
+	}
+	f.world.after(run.workingMS-f.world.nowMS+left, func() {
+		if run.plans == plan {
+			f.finish(run, kind)
+		}
+	})
+}
+
+// finish ends a run whose work is done, a gang's with the last of its members.
+func (f *fakeWorker) finish(run *fakeRun, kind scheduler.EndKind) {
+	run.complete = true
+	if kind == scheduler.EndDone && f.world.judge.step(run.ref).Gang {
+		for _, m := range f.world.members(run.ref) {
+			if !m.run.complete {
+				return
+			}
+		}
+	}
+	f.end(run, kind)
 }
 
 // end lists the end of a run; a gang ends together.
@@ -298,14 +347,7 @@
 	return append(found, last...)
 }
 
-func (f *fakeWorker) work(run *fakeRun) {
-	run.workingMS = f.world.nowMS
-	left, kind := run.totalMS, scheduler.EndDone
-	if f.fails || f.world.judge.fails(run.ref) {
-		left, kind = min(left, 200), scheduler.EndFailed
-	}
-	f.world.after(left, func() { f.end(run, kind) })
-}
+func (f *fakeWorker) work(run *fakeRun) { f.plan(run) }
 
 // gangEnded ends the rest of a gang after one member has ended.
 func (w *world) gangEnded(ref scheduler.TaskRef, kind scheduler.EndKind) {
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -29,6 +29,8 @@
 	LeaseMS int64
 	// GangMS is how long tasks of a gang wait for each other.
 	GangMS int64
+	// StopMS is how long a worker takes at most to stop a task.
+	StopMS int64
 	// RetainMS is how long an ended job can be asked for.
 	RetainMS int64
 }
@@ -109,10 +111,11 @@
 	// storing are the tickets of records that are not durable yet.
 	storing map[uint64]bool
 	// order lists the live jobs in order of acceptance.
-	order  []*job
-	dirty  bool
-	passMS int64
-	ended  []endedJob
+	order    []*job
+	bookings []*booking
+	dirty    bool
+	passMS   int64
+	ended    []endedJob
 
 	cmds []Command
 }
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -13,6 +13,8 @@
 // did not fit once does not fit later.
 type plan struct {
 	workers []*worker
+	// index finds a worker's nodes.
+	index map[*worker]int
 	// nodes are the workers as urgent work sees them, others as all other work
 	// does: without those that are kept free.
 	nodes  []packer.Node
@@ -87,9 +89,10 @@
 }
 
 func (m *Model) newPlan() *plan {
-	p := &plan{used: map[string]int{}, failed: map[shape]bool{}}
+	p := &plan{used: map[string]int{}, failed: map[shape]bool{}, index: map[*worker]int{}}
 	p.workers = m.fleet
-	for _, w := range p.workers {
+	for i, w := range p.workers {
+		p.index[w] = i
 		p.nodes = append(p.nodes, m.node(w))
 		for _, r := range w.runs.list {
 			if r.unit != nil && m.queue(r.unit.step.job).Priority == 0 {
@@ -97,6 +100,11 @@
 			}
 		}
 	}
+	m.dropBookings()
+	for _, b := range m.bookings {
+		p.hold(b)
+		p.used[b.unit.step.job.sub.Job.Workspace] += len(b.on) * b.request.Need.Accelerators
+	}
 	return p
 }
 
@@ -111,7 +119,7 @@
 // fit reports whether the worker may be given new tasks.
 func (m *Model) fit(w *worker) bool {
 	silent := w.failures > 0 || m.at.MonoMS-w.clockAtMS > deafMS
-	return m.present(w) && w.heard && !w.notedUnheard && !silent && !w.Draining && m.at.MonoMS >= w.avoidMS && !m.suspected(w) && !m.Config.Closed[w.Domain]
+	return m.present(w) && w.heard && !w.notedUnheard && !silent && !w.Draining && m.at.MonoMS >= w.avoidMS && !m.suspected(w) && !m.sluggish(w) && !m.Config.Closed[w.Domain]
 }
 
 // placeStep places as many of the step's waiting units as fit.
@@ -127,6 +135,12 @@
 		if u.state != unitWaiting {
 			continue
 		}
+		if u.booking != nil {
+			p.release(u.booking)
+		}
+		if sh.urgent {
+			p.view(nodes)
+		}
 		open := m.avoid(p, nodes, u, r)
 		if c.queue.Advised {
 			open = m.permitted(p, c, open, r)
@@ -136,13 +150,9 @@
 			// Wide gangs may need just the racks that are kept free.
 			places, ok = packer.Place(p.opened(open, c), r)
 		}
-		if !ok && sh.urgent {
-			if places, ok = m.preempt(p, open, c, r); ok {
-				// The victims' room is free once their ends are listed.
-				m.noteWaiting(c.step.job, "room of preempted work")
-				p.take(nodes, places, r)
-				continue
-			}
+		if !ok && sh.urgent && m.book(p, open, c, u, r) {
+			m.noteWaiting(c.step.job, "booked room")
+			continue
 		}
 		if !ok {
 			p.failed[sh] = p.failed[sh] || r.MaxPerWorker == 0 && len(u.failedOn) == 0 && !sh.urgent && !c.queue.Advised && !serving(c.step.spec) && !c.step.spec.FillsIdle
@@ -154,7 +164,10 @@
 			on = append(on, p.workers[i])
 		}
 		p.take(nodes, places, r)
-		p.used[c.step.job.sub.Job.Workspace] += r.Count * r.Need.Accelerators
+		if u.booking == nil {
+			p.used[c.step.job.sub.Job.Workspace] += r.Count * r.Need.Accelerators
+		}
+		u.booking = nil
 		m.placeUnit(u, on)
 	}
 }
@@ -195,16 +208,29 @@
 // take marks room as used for the rest of the pass, in all views of the nodes.
 func (p *plan) take(nodes []packer.Node, places []int, r packer.Request) {
 	for _, i := range places {
-		p.nodes[i].Free = p.nodes[i].Free.Sub(r.Need)
+		p.setFree(i, p.nodes[i].Free.Sub(r.Need))
 		nodes[i].Free = p.nodes[i].Free
 		nodes[i].Taken++
 		p.idle -= r.Need.Accelerators
-		if p.others != nil {
-			p.others[i].Free = p.nodes[i].Free
-		}
 	}
 }
 
+// setFree changes a worker's free room in all views but a step's own.
+func (p *plan) setFree(i int, free describer.Resources) {
+	p.nodes[i].Free = free
+	if p.others != nil {
+		p.others[i].Free = free
+	}
+}
+
+// view brings a step's own nodes up to date.
+func (p *plan) view(nodes []packer.Node) []packer.Node {
+	for i := range nodes {
+		nodes[i].Free = p.nodes[i].Free
+	}
+	return nodes
+}
+
 func request(s *step) packer.Request {
 	r := packer.Request{
 		Count: 1, Need: s.spec.Reserved(), RequireLabel: s.spec.RequireLabel,
--- a/internal/workload/scheduler/preempt.go
+++ b/internal/workload/scheduler/preempt.go
@@ -9,31 +9,6 @@
 	"daisyhead/internal/workload/packer"
 )
 
-// preempt frees room for work of priority 0: whatever that costs within its
-// workspace's guarantee, and beyond it if little is lost. It returns where the
-// work will go once the victims have stopped.
-func (m *Model) preempt(p *plan, nodes []packer.Node, c candidate, r packer.Request) (places []int, ok bool) {
-	workspace := c.step.job.sub.Job.Workspace
-	claimed := p.used[workspace]+r.Count*r.Need.Accelerators <= m.Config.Guaranteed(workspace)
-	freed := slices.Clone(nodes)
-	for i := range p.workers {
-		m.offer(p, freed, i, r)
-	}
-	if places, ok = packer.Place(freed, r); !ok {
-		return nil, false
-	}
-	victims, lost := m.victims(p, nodes, places, r)
-	if !claimed && lost > m.worthLosing(c.step) {
-		return nil, false
-	}
-	p.used[workspace] += r.Count * r.Need.Accelerators
-	for _, v := range victims {
-		m.event("UnitPreempted", "Job", v.ref.Unit.Job, "Unit", v.ref.Unit.String(), "For", c.step.job.id, "Worker", v.worker.ID, "LostCoreMS", int64(m.loss(v)), "Claimed", claimed)
-		m.stopUnit(v.unit, "preempted for job "+c.step.job.id)
-	}
-	return places, true
-}
-
 // losingShare of a step's own work may be thrown away for it beyond its
 // workspace's guarantee, one part in so many.
 const losingShare = 3
@@ -44,19 +19,6 @@
 	return 1.0 / losingShare * float64(s.spec.Count) * float64(s.spec.Need.MilliCores()) / 1000 * float64(s.spec.EstimateMS)
 }
 
-// offer adds the room of preemptible runs to a node. Its cost is the loss for one
-// task of the request.
-func (m *Model) offer(p *plan, freed []packer.Node, i int, r packer.Request) {
-	free := freed[i].Free
-	for _, v := range m.preemptible(p.workers[i]) {
-		if !free.Fits(r.Need) {
-			freed[i].Cost += m.loss(v)
-			free = free.Add(v.need)
-		}
-		freed[i].Free = freed[i].Free.Add(v.need)
-	}
-}
-
 // preemptible lists a worker's runs that may give way, those first whose loss is
 // least. Tasks whose availability is bounded stay.
 func (m *Model) preemptible(w *worker) (runs []*run) {
@@ -86,7 +48,8 @@
 // it loses the time of its stop and restore, about a tenth of its run.
 const savedShare = 10
 
-// victims lists the runs that have to stop for the places, and what is lost.
+// victims lists the runs that have to stop for the places, and what is lost. Runs
+// that end soon by themselves don't have to.
 func (m *Model) victims(p *plan, nodes []packer.Node, places []int, r packer.Request) (victims []*run, lost float64) {
 	need := map[int]int{}
 	seen := map[*unit]bool{}
@@ -95,17 +58,24 @@
 	}
 	for _, i := range slices.Sorted(maps.Keys(need)) {
 		free := nodes[i].Free
+		for _, v := range p.workers[i].runs.list {
+			if m.endsSoon(v) {
+				free = free.Add(v.need)
+			}
+		}
 		for _, v := range m.preemptible(p.workers[i]) {
 			if holds(free, r, need[i]) {
 				break
 			}
-			free = free.Add(v.need)
-			if v.unit.state == unitStopping || seen[v.unit] {
+			if m.endsSoon(v) {
 				continue
 			}
-			seen[v.unit] = true
-			victims = append(victims, v)
-			lost += m.loss(v)
+			free = free.Add(v.need)
+			if !seen[v.unit] {
+				seen[v.unit] = true
+				victims = append(victims, v)
+				lost += m.loss(v)
+			}
 		}
 	}
 	return victims, lost
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -36,6 +36,7 @@
 		m.takeRunning(w, r)
 	}
 	m.missRuns(w, present)
+	m.judgeProgress(w)
 	w.advance()
 	w.retryMS = m.at.MonoMS + m.pauseAfter(w)
 	m.hold(w)
@@ -95,6 +96,7 @@
 	}
 	m.notePresent(r)
 	m.checkStarted(r.unit)
+	m.noteProgress(r, p)
 }
 
 // stopStray stops a run that nobody wants any more. It takes room until then.
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "daisyhead/internal/workload/describer"
+import (
+	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/forecaster"
+)
 
 // runState is what is known of a task on its worker.
 type runState int
@@ -40,6 +43,7 @@
 	settledMS int64
 	// startedMS is when the run was first known to be present.
 	startedMS int64
+	track     forecaster.Track
 }
 
 // endRef is an end on a worker that is to be confirmed.
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -145,7 +145,7 @@
 	m.terms.active, m.terms.number = true, m.Table.Term.Number
 	m.terms.takenMS, m.terms.renewedMS, m.terms.renewals, m.terms.yields = m.at.MonoMS, m.at.MonoMS, 0, 0
 	m.proposer = proposer{sequence: 1}
-	m.workers, m.fleet, m.jobs, m.order, m.ended = map[string]*worker{}, nil, map[string]*job{}, nil, nil
+	m.workers, m.fleet, m.jobs, m.order, m.bookings, m.ended = map[string]*worker{}, nil, map[string]*job{}, nil, nil, nil
 	m.event("TermTaken", "Term", m.terms.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
 	m.emit(FollowWorkersCmd{On: true})
 	m.syncJobs()
@@ -154,7 +154,7 @@
 
 func (m *Model) stepDown(reason string) {
 	m.terms.active = false
-	m.workers, m.fleet, m.jobs, m.order = map[string]*worker{}, nil, map[string]*job{}, nil
+	m.workers, m.fleet, m.jobs, m.order, m.bookings = map[string]*worker{}, nil, map[string]*job{}, nil, nil
 	m.proposer = proposer{}
 	m.abandonStoring()
 	m.event("TermLost", "Term", m.terms.number, "Reason", reason)
--- a/internal/workload/scheduler/trust.go
+++ b/internal/workload/scheduler/trust.go
@@ -19,6 +19,9 @@
 	// failedJobs failed here since the last success.
 	failedJobs []string
 	untilMS    int64
+	// sluggishUntilMS is until when the worker gets nothing new because work stood
+	// still or crawled there. A success does not clear it.
+	sluggishUntilMS int64
 }
 
 // noteFailure counts a failed run against its worker.
@@ -38,14 +41,14 @@
 	if m.suspected(w) {
 		m.event("WorkerTrusted", "Worker", w.ID)
 	}
-	w.trust = trust{}
+	w.trust.failedJobs, w.trust.untilMS = nil, 0
 }
 
 func (m *Model) suspected(w *worker) bool { return m.at.MonoMS < w.trust.untilMS }
 
 func (m *Model) suspects() (count int) {
 	for _, w := range m.fleet {
-		if m.suspected(w) {
+		if m.suspected(w) || m.sluggish(w) {
 			count++
 		}
 	}
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -37,6 +37,7 @@
 	failed bool
 	// failedOn are the workers on which tasks of the unit have failed.
 	failedOn []string
+	booking  *booking
 	why      string
 	// sinceMS is when the state was entered.
 	sinceMS int64
@@ -111,6 +112,12 @@
 		}
 	}
 	u.enter(unitRunning, m.at.MonoMS)
+	for _, r := range u.runs {
+		r.track.Begin(m.at.MonoMS)
+		if u.rec.Checkpoint == "" {
+			r.track.Note(m.at.MonoMS, 0)
+		}
+	}
 	m.event("UnitStarted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.rec.Run, "SinceAcceptedMS", m.at.WallMS-u.step.job.sub.AcceptedMS)
 }
 
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -12,6 +12,8 @@
 	describer.Worker
 	// listed is set while the platform lists the worker.
 	listed bool
+	// leavesMS is when a draining worker may be gone.
+	leavesMS int64
 	// unlistedMS is when the entry was last removed.
 	unlistedMS int64
 	// heard is set once this life of the worker has answered in this term,
@@ -89,6 +91,9 @@
 			m.event("WorkerListed", "Worker", spec.ID, "Domain", spec.Domain, "Rack", spec.Rack, "Draining", spec.Draining)
 			m.dirty = true
 		}
+		if spec.Draining && (!w.Draining || spec.RemainingMS != w.RemainingMS) {
+			w.leavesMS = m.at.MonoMS + spec.RemainingMS
+		}
 		w.Worker, w.listed = spec, true
 	}
 	for _, w := range m.fleet {
@@ -111,6 +116,7 @@
 			m.forgetWorker(w)
 			continue
 		}
+		m.clearLeaving(w)
 		m.hold(w)
 	}
 }
@@ -142,14 +148,18 @@
 }
 
 // patience is how long the report may wait for an end: not at all while the
-// worker owes a definite answer.
+// worker owes a definite answer, and not for long while it runs urgent work.
 func (m *Model) patience(w *worker) int64 {
+	wait := int64(holdWaitMS)
 	for _, r := range w.runs.list {
-		if r.state == runRefused {
+		switch {
+		case r.state == runRefused:
 			return 0
+		case r.unit != nil && m.queue(r.unit.step.job).Priority == 0:
+			wait = watchWaitMS
 		}
 	}
-	return holdWaitMS
+	return wait
 }
 
 // grant returns a deadline on the worker's clock, one lease from now, and notes
--- a/internal/workload/scheduler/world_test.go
+++ b/internal/workload/scheduler/world_test.go
@@ -236,7 +236,7 @@
 	i.startMS = i.world.nowMS
 	i.model = scheduler.New(scheduler.Config{
 		Instance: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.life), Power: 400,
-		LeaseMS: leaseMS, GangMS: gangMS, RetainMS: 600000,
+		LeaseMS: leaseMS, GangMS: gangMS, StopMS: stopTimeMS, RetainMS: 600000,
 	})
 	i.world.ledger.records = append(i.world.ledger.records, tabulator.InstanceRecord(tabulator.Instance{
 		Name: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.life), Power: 400,
