Notice within a second and a half that the platform answers again

Reads and loads that were sent into the silence waited for their own time limits (1.3 to 3 s), and the time limit of appends had doubled to 2.4 s.

Change: while a feed fails it is read without waiting and with short limits that grow; loads are bounded by the page instead of as a whole; when the ledger answers again, appends in flight are given up and sent again under their old sequence. A claim that came too late for its offset is repeated after 50 ms instead of 300 (after power is lost all instances register at the same moment: term taken 0.4 s after the first load).

Ruled out: the connections (new ones work at once after a silence), the control loop.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -107,7 +107,7 @@
 	n.SetSeeds(s.Seeds)
 	n.loop.Measure = func(took time.Duration) { n.meter.step.Observe(took.Seconds()) }
 	n.writer = follower.NewWriter(p.Ledger)
-	n.ledger = follower.NewReader(p.Ledger, &follower.LedgerHandler{Sink: n.loop, Reporter: p.Reporter, Start: n.start}, n.ledgerPace)
+	n.ledger = follower.NewReader(p.Ledger, &follower.LedgerHandler{Sink: n.loop, Reporter: p.Reporter, Start: n.start, Regained: n.writer.Renew}, n.ledgerPace)
 	n.catalog = &follower.Catalog{Sink: n.loop, Reporter: p.Reporter}
 	n.roster = &rosterSwitch{feed: p.Workers, handler: &follower.Roster{Sink: n.loop, Reporter: p.Reporter}}
 	n.storer = &storer{node: n}
--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -23,8 +23,9 @@
 // Feed is a stream of keyed records of which the newest of each key lasts.
 type Feed[T any] interface {
 	// Newest returns the newest records and the offset from which to read on.
-	// Records that were written meanwhile may be missing or be read again.
-	Newest(ctx context.Context) ([]T, uint64, error)
+	// Records that were written meanwhile may be missing or be read again. Each of
+	// the calls that this takes is given up after limit.
+	Newest(ctx context.Context, limit time.Duration) ([]T, uint64, error)
 	// Read returns records from an offset on. It waits for the first one.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Page[T], error)
 }
@@ -50,11 +51,20 @@
 const (
 	// answerAllowance is added to Wait for the way to the platform and back.
 	answerAllowance = 700 * time.Millisecond
-	loadTimeout     = 3 * time.Second
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
 )
 
+// Time limits of single calls while the platform does not answer. A call that was sent
+// into an outage may hang after its end, so the first ones are short; a platform that is
+// only slow gets twice as long with each call.
+const (
+	minLoadTimeout  = 650 * time.Millisecond
+	maxLoadTimeout  = 1300 * time.Millisecond
+	minProbeTimeout = 400 * time.Millisecond
+	maxProbeTimeout = 1600 * time.Millisecond
+)
+
 // Reader follows one feed.
 type Reader[T any] struct {
 	Feed    Feed[T]
@@ -63,6 +73,10 @@
 	Pace func() Pace
 
 	kick chan struct{}
+	// loadTimeout bounds the calls of the next load, probeTimeout the next read after a failed one; 0
+	// is the least. probing is set after a failed read.
+	loadTimeout, probeTimeout time.Duration
+	probing                   bool
 }
 
 // NewReader returns a reader that is not running yet.
@@ -96,13 +110,14 @@
 }
 
 func (r *Reader[T]) load(ctx context.Context) (next uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
+	r.loadTimeout = max(r.loadTimeout, minLoadTimeout)
 	sent := time.Now()
-	items, next, err := r.Feed.Newest(ctx)
+	items, next, err := r.Feed.Newest(ctx, r.loadTimeout)
 	if err != nil {
+		r.loadTimeout = min(2*r.loadTimeout, maxLoadTimeout)
 		return 0, err
 	}
+	r.loadTimeout = 0
 	r.Handler.Load(items, next, sent)
 	return next, nil
 }
@@ -113,12 +128,13 @@
 	for ctx.Err() == nil {
 		pace := r.Pace()
 		sent := time.Now()
-		page, err := r.read(ctx, next, pace.Wait)
+		page, err := r.read(ctx, next, pace)
 		switch {
 		case errors.Is(err, ErrExpired):
 			return err
 		case err != nil:
 			if ctx.Err() == nil {
+				r.probing = true
 				r.Handler.Fail(err)
 				pause(ctx, retryPause)
 			}
@@ -126,8 +142,9 @@
 		}
 		asOf := sent
 		if len(page.Items) == 0 {
-			asOf = sent.Add(pace.Wait)
+			asOf = sent.Add(r.wait(pace))
 		}
+		r.probing, r.probeTimeout = false, 0
 		from := next
 		next += uint64(len(page.Items))
 		r.Handler.Take(from, page.Items, asOf, next >= page.End)
@@ -136,10 +153,24 @@
 	return ctx.Err()
 }
 
-func (r *Reader[T]) read(ctx context.Context, next uint64, wait time.Duration) (Page[T], error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerAllowance)
+func (r *Reader[T]) read(ctx context.Context, next uint64, pace Pace) (Page[T], error) {
+	limit := pace.Wait + answerAllowance
+	if r.probing {
+		limit = min(max(2*r.probeTimeout, minProbeTimeout), maxProbeTimeout)
+		r.probeTimeout = limit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return r.Feed.Read(ctx, next, wait)
+	return r.Feed.Read(ctx, next, r.wait(pace))
+}
+
+// wait is how long an answer may wait for a record: not at all while it is open whether
+// there will be an answer.
+func (r *Reader[T]) wait(pace Pace) time.Duration {
+	if r.probing {
+		return 0
+	}
+	return pace.Wait
 }
 
 func (r *Reader[T]) rest(ctx context.Context, d time.Duration) {
--- a/internal/workload/follower/follower_test.go
+++ b/internal/workload/follower/follower_test.go
@@ -25,7 +25,9 @@
 	started time.Time
 }
 
-func (f *scriptedFeed) Newest(context.Context) ([]string, uint64, error) { return f.newest, 5, nil }
+func (f *scriptedFeed) Newest(context.Context, time.Duration) ([]string, uint64, error) {
+	return f.newest, 5, nil
+}
 
 func (f *scriptedFeed) Read(ctx context.Context, from uint64, wait time.Duration) (p follower.Page[string], err error) {
 	f.froms = append(f.froms, from)
--- a/internal/workload/follower/handlers.go
+++ b/internal/workload/follower/handlers.go
@@ -24,6 +24,8 @@
 	Sink     Sink
 	Reporter Reporter
 	Start    time.Time
+	// Regained, if set, is called when the ledger answers after an outage.
+	Regained func()
 
 	link link
 }
@@ -42,7 +44,9 @@
 
 // Take implements Handler.
 func (h *LedgerHandler) Take(from uint64, items []tabulator.Record, asOf time.Time, caughtUp bool) {
-	h.link.up(h.Reporter, "Ledger")
+	if h.link.up(h.Reporter, "Ledger") && h.Regained != nil {
+		h.Regained()
+	}
 	h.Sink.Send(scheduler.LedgerReadMsg{From: from, Records: items, SentMS: h.ms(asOf), CaughtUp: caughtUp})
 }
 
@@ -176,10 +180,12 @@
 // link reports the first failure and the recovery of a dependency.
 type link struct{ failing atomic.Bool }
 
-func (l *link) up(r Reporter, name string) {
-	if l.failing.Swap(false) {
-		r.Event("DependencyRegained", "Dependency", name)
+func (l *link) up(r Reporter, name string) (regained bool) {
+	if !l.failing.Swap(false) {
+		return false
 	}
+	r.Event("DependencyRegained", "Dependency", name)
+	return true
 }
 
 func (l *link) down(r Reporter, name string, err error) {
--- a/internal/workload/follower/ledger.go
+++ b/internal/workload/follower/ledger.go
@@ -16,6 +16,8 @@
 var (
 	// ErrNotWritten tells that nothing was written and nothing will be.
 	ErrNotWritten = errors.New("not written")
+	// ErrMoved tells that nothing was written since the ledger has grown meanwhile.
+	ErrMoved = errors.Wrap(ErrNotWritten, "the ledger has grown")
 	// ErrFenced tells that a higher term has been recorded.
 	ErrFenced = errors.New("a higher term has been recorded")
 )
@@ -48,6 +50,39 @@
 type patience struct {
 	mu    sync.Mutex
 	limit time.Duration
+	// renewed is closed when the platform is known to answer again.
+	renewed chan struct{}
+}
+
+// renew gives up the calls that are in flight, which may have been sent into an outage
+// that is over, and returns to the least time limit.
+func (p *patience) renew() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = 0
+	if p.renewed != nil {
+		close(p.renewed)
+	}
+	p.renewed = make(chan struct{})
+}
+
+// untilRenewed returns a context that ends with renew.
+func (p *patience) untilRenewed(ctx context.Context) (context.Context, context.CancelFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.renewed == nil {
+		p.renewed = make(chan struct{})
+	}
+	renewed := p.renewed
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-renewed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 func (p *patience) timeout() time.Duration {
@@ -71,6 +106,8 @@
 
 // try runs one append within the time limit.
 func (p *patience) try(ctx context.Context, appending func(context.Context) error) error {
+	ctx, stop := p.untilRenewed(ctx)
+	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, p.timeout())
 	defer cancel()
 	began := time.Now()
@@ -139,6 +176,9 @@
 	}
 }
 
+// Renew sends what is in flight again: the ledger answers after an outage.
+func (w *Writer) Renew() { w.patience.renew() }
+
 // Append writes a caller's record. Records are idempotent, so a caller may
 // append one again after an error.
 func (w *Writer) Append(ctx context.Context, r tabulator.Record) error {
@@ -162,7 +202,7 @@
 		return w.ledger.ClaimTerm(ctx, c.At, c.Term.Number, tabulator.TermRecord(c.Term))
 	})
 	if err != nil {
-		return scheduler.ClaimedMsg{Err: err.Error()}
+		return scheduler.ClaimedMsg{Err: err.Error(), Moved: errors.Is(err, ErrMoved)}
 	}
 	return scheduler.ClaimedMsg{}
 }
--- /dev/null
+++ b/internal/workload/follower/silence_test.go
@@ -0,0 +1,99 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisyhead/internal/workload/follower"
+	"daisyhead/internal/workload/scheduler"
+	"daisyhead/internal/workload/tabulator"
+)
+
+// silentFeed does not answer calls that were sent before a time.
+type silentFeed struct {
+	until  time.Time
+	loaded time.Time
+	read   time.Time
+}
+
+func (f *silentFeed) answer(ctx context.Context, at *time.Time) error {
+	if time.Now().Before(f.until) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if at.IsZero() {
+		*at = time.Now()
+	}
+	return nil
+}
+
+func (f *silentFeed) Newest(ctx context.Context, limit time.Duration) ([]string, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return nil, 0, f.answer(ctx, &f.loaded)
+}
+
+func (f *silentFeed) Read(ctx context.Context, _ uint64, wait time.Duration) (p follower.Page[string], err error) {
+	if err := f.answer(ctx, &f.read); err != nil {
+		return p, err
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return p, ctx.Err()
+}
+
+// regainTarget is the part of the time that callers have, 3 s, that an instance may go
+// on refusing after the platform answers again.
+const regainTarget = 1500 * time.Millisecond
+
+// TestSilenceEnds lets the platform answer again after a silence: what was sent into
+// the silence must not be waited for.
+func TestSilenceEnds(t *testing.T) {
+	for _, silence := range []time.Duration{900 * time.Millisecond, 2200 * time.Millisecond, 6700 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			f := &silentFeed{until: start.Add(silence)}
+			ctx, cancel := context.WithCancel(context.Background())
+			pace := func() follower.Pace { return follower.Pace{Wait: time.Second, Interval: 100 * time.Millisecond} }
+			go follower.NewReader(f, &history{}, pace).Run(ctx)
+			defer synctest.Wait()
+			defer cancel()
+			time.Sleep(silence + 5*time.Second)
+			if late := f.loaded.Sub(f.until); f.loaded.IsZero() || late > regainTarget {
+				t.Errorf("after %s of silence: loaded %s later, the target is %s", silence, late, regainTarget)
+			}
+			f.until, f.read = time.Now().Add(silence), time.Time{}
+			time.Sleep(silence + 5*time.Second)
+			if late := f.read.Sub(f.until); f.read.IsZero() || late > regainTarget {
+				t.Errorf("after %s of silence: read %s later, the target is %s", silence, late, regainTarget)
+			}
+		})
+	}
+}
+
+// TestRenewGivesUpWhatWasSentIntoAnOutage repeats an append that hangs as soon as the
+// ledger is known to answer again.
+func TestRenewGivesUpWhatWasSentIntoAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slowLedger{takes: time.Hour}
+		w := follower.NewWriter(l)
+		decide := func() scheduler.AppendResult {
+			return w.Decide(context.Background(), scheduler.AppendCmd{Term: 1, Sequence: 1, Records: []tabulator.Record{{Key: "k"}}}).Result
+		}
+		for range 4 {
+			decide() // the time limit grows
+		}
+		began := time.Now()
+		time.AfterFunc(time.Second, w.Renew)
+		if r := decide(); r != scheduler.AppendUnknown {
+			t.Errorf("the append that was given up is %s, want %s", r, scheduler.AppendUnknown)
+		}
+		if took := time.Since(began); took != time.Second {
+			t.Errorf("the append was given up after %s, want 1 s", took)
+		}
+	})
+}
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -42,8 +42,12 @@
 // ListedMsg brings the list of workers as the platform keeps it.
 type ListedMsg struct{ Workers []describer.Worker }
 
-// ClaimedMsg brings the result of a ClaimCmd.
-type ClaimedMsg struct{ Err string }
+// ClaimedMsg brings the result of a ClaimCmd. Moved is set if nothing was written,
+// since another record has taken the offset.
+type ClaimedMsg struct {
+	Err   string
+	Moved bool
+}
 
 // AppendResult is what became of an append.
 type AppendResult string
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -46,8 +46,10 @@
 	rejoinMS = silenceMS - renewMS
 	// rankDelayMS keeps instances from claiming at the same moment: two ticks.
 	rankDelayMS = 100
-	// claimPauseMS is the pause after a claim that failed.
+	// claimPauseMS is the pause after a claim that failed; movedPauseMS is that after
+	// one that came too late for its offset: a read, and the others' ranks.
 	claimPauseMS = 300
+	movedPauseMS = 50
 	// yieldAfterMS without a successful append lets the holder ask another
 	// instance to take over: a few retries.
 	yieldAfterMS = 500
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -111,7 +111,11 @@
 
 // finishClaim reads on: only the fold tells who holds the term.
 func (m *Model) finishClaim(msg ClaimedMsg) {
-	m.terms.claiming, m.terms.claimAgainMS = false, m.at.MonoMS+claimPauseMS
+	pause := int64(claimPauseMS)
+	if msg.Moved {
+		pause = movedPauseMS
+	}
+	m.terms.claiming, m.terms.claimAgainMS = false, m.at.MonoMS+pause
 	if msg.Err != "" {
 		m.event("TermClaimFailed", "Error", msg.Err)
 	}
--- a/internal/workload/scheduler/world_test.go
+++ b/internal/workload/scheduler/world_test.go
@@ -357,7 +357,7 @@
 		}
 		i.reply(appendMS, func() scheduler.Msg {
 			if !w.ledger.claim(c) {
-				return scheduler.ClaimedMsg{Err: "moved"}
+				return scheduler.ClaimedMsg{Err: "moved", Moved: true}
 			}
 			return scheduler.ClaimedMsg{}
 		})
