Tell callers of completed jobs while the platform is out of reach

Change: the holder asks other instances to remember an outcome whose record is late, and tells callers once two do; a witness that takes over ends the job, one that does not records the outcome when the ledger is back without it. A state is told by an old configuration if neither the holder nor eight peers have a newer one, within the platform's stretched limit. Peers that ask for a state say that they have admitted the call.

Ruled out: showing it from the holder's memory alone (run twice if holder and worker are lost in one outage); accepting jobs in an outage (nothing stores them); starting work then.

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,9 @@
 	// ConfigVersion is the version that the peer has in force: its callers must not
 	// see an older one.
 	ConfigVersion uint64 `cbor:",omitempty"`
+	// Admitted is set when the peer has found the queue and checked the key, and asks
+	// just for the job's state.
+	Admitted bool `cbor:",omitempty"`
 }
 
 // Verdict is the kind of an answer.
@@ -114,7 +118,8 @@
 // Peers pass calls on to other instances. ok is false if no peer took the
 // call; the call has then had no effect.
 type Peers interface {
-	Forward(ctx context.Context, c Call) (a Answer, ok bool)
+	// Forward asks that many peers at most.
+	Forward(ctx context.Context, c Call, tries int) (a Answer, ok bool)
 	// AskHolder passes a call on to the instance that decides, which sees an end
 	// first. ok is false if this instance decides, or the holder does not answer.
 	AskHolder(ctx context.Context, c Call) (a Answer, ok bool)
@@ -135,8 +140,15 @@
 	// ConfigFresh is the greatest age of a configuration that calls are
 	// judged by.
 	ConfigFresh time.Duration
+	// ConfigStale is the greatest age of a configuration by which a job's state is told
+	// when no instance has a newer one: the platform is out of reach for all.
+	ConfigStale time.Duration
 	// TableFresh is the greatest age of the table that may say a job is unknown.
 	TableFresh time.Duration
+
+	// aloneUntil is until when no peer is expected to have a newer configuration, Unix
+	// nanoseconds.
+	aloneUntil atomic.Int64
 }
 
 const (
@@ -151,6 +163,13 @@
 	defaultWithinMS = 3000
 	// refreshPoll is how often a refreshed table is looked at.
 	refreshPoll = 20 * time.Millisecond
+	// usualTries bounds the peers that are asked for one call, wideTries those before
+	// the platform is taken to be out of reach for all.
+	usualTries = 3
+	wideTries  = 8
+	// alonePause is the time between two searches for a peer with a newer
+	// configuration: a few reads.
+	alonePause = 300 * time.Millisecond
 )
 
 // Answer answers one call.
@@ -182,8 +201,16 @@
 	case cfg != nil:
 		c.ConfigVersion = max(c.ConfigVersion, cfg.Version)
 	}
+	if c.Admitted {
+		return a.known(ctx, c)
+	}
 	if cfg == nil || time.Since(asOf) > a.ConfigFresh {
-		return a.forward(ctx, c, "the configuration is out of date")
+		if answer, ok := a.askWidely(ctx, c); ok {
+			return answer
+		}
+		if cfg == nil || c.Forwarded || c.Kind != KindState || time.Since(asOf) > a.ConfigStale {
+			return notRun("the configuration is out of date")
+		}
 	}
 	q, workspace, refusal := admit(cfg, c)
 	if refusal != "" {
@@ -203,6 +230,27 @@
 	return a.state(ctx, c, id)
 }
 
+// askWidely looks for a peer with a newer configuration.
+func (a *Acceptor) askWidely(ctx context.Context, c Call) (answer Answer, ok bool) {
+	if c.Forwarded || time.Now().UnixNano() < a.aloneUntil.Load() {
+		return answer, false
+	}
+	if answer, ok = a.Peers.Forward(ctx, c, wideTries); !ok {
+		a.aloneUntil.Store(time.Now().Add(alonePause).UnixNano())
+	}
+	return answer, ok
+}
+
+// known tells the state of a job, if it is known here, to a peer that has admitted the
+// call.
+func (a *Acceptor) known(ctx context.Context, c Call) Answer {
+	v, ok := a.Jobs.Job(ctx, c.Path[strings.LastIndexByte(c.Path, '/')+1:])
+	if !ok || !v.Known {
+		return notRun("the job is not known here")
+	}
+	return Answer{Verdict: Told, State: v.State}
+}
+
 // admit finds the queue and checks the key.
 func admit(cfg *describer.Configuration, c Call) (q describer.Queue, workspace string, refusal Verdict) {
 	q, ok := cfg.Route(c.Host, c.Path)
@@ -269,23 +317,27 @@
 	switch {
 	case v.Known && final(v.State):
 		return Answer{Verdict: Told, State: v.State}
-	case v.Known && a.sure(v):
+	case v.Known:
 		return a.newest(ctx, c, v)
 	case !a.sure(v):
-		answer := a.forward(ctx, c, "the table of jobs is out of date")
-		if answer.Verdict == NotRun && v.Known {
-			return Answer{Verdict: Told, State: v.State}
-		}
-		return answer
+		return a.forward(ctx, c, "the table of jobs is out of date")
 	}
 	return Answer{Verdict: NoJob}
 }
 
-// newest tells a live job's state as the holder knows it: the own table is a
-// paced read behind, and callers wait for the end.
+// newest tells a live job's state as the holder knows it: the own table is a paced read
+// behind, and callers wait for the end. Without the holder a peer may know more, and
+// what was known last is better than nothing.
 func (a *Acceptor) newest(ctx context.Context, c Call, v JobView) Answer {
 	if !c.Forwarded {
-		if answer, ok := a.Peers.AskHolder(ctx, c); ok && answer.Verdict == Told {
+		asked := c
+		asked.Admitted = true
+		if answer, ok := a.Peers.AskHolder(ctx, asked); ok && answer.Verdict == Told {
+			return answer
+		}
+	}
+	if !a.sure(v) {
+		if answer := a.forward(ctx, c, "the table of jobs is out of date"); answer.Verdict != NotRun {
 			return answer
 		}
 	}
@@ -333,7 +385,7 @@
 		}
 		maybe = maybe || !errors.Is(last, follower.ErrNotWritten)
 		if !c.Forwarded {
-			if answer, ok := a.Peers.Forward(ctx, c); ok && (answer.Verdict == done || !maybe) {
+			if answer, ok := a.Peers.Forward(ctx, c, usualTries); ok && (answer.Verdict == done || !maybe) {
 				return answer
 			}
 		}
@@ -351,7 +403,7 @@
 // forward lets a peer with newer knowledge answer.
 func (a *Acceptor) forward(ctx context.Context, c Call, reason string) Answer {
 	if !c.Forwarded {
-		if answer, ok := a.Peers.Forward(ctx, c); ok {
+		if answer, ok := a.Peers.Forward(ctx, c, usualTries); ok {
 			return answer
 		}
 	}
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -61,7 +61,7 @@
 	return c, time.Now().Add(-p.configAge)
 }
 
-func (p *place) Forward(_ context.Context, c acceptor.Call) (a acceptor.Answer, ok bool) {
+func (p *place) Forward(_ context.Context, c acceptor.Call, _ int) (a acceptor.Answer, ok bool) {
 	p.forwarded = append(p.forwarded, c)
 	if p.peer == nil {
 		return a, false
@@ -79,7 +79,7 @@
 func (p *place) Event(string, ...any) {}
 
 func (p *place) acceptor() *acceptor.Acceptor {
-	return &acceptor.Acceptor{Jobs: p, Ledger: p, Catalog: p, Peers: p, Reporter: p, ConfigFresh: 1500 * time.Millisecond, TableFresh: 1500 * time.Millisecond}
+	return &acceptor.Acceptor{Jobs: p, Ledger: p, Catalog: p, Peers: p, Reporter: p, ConfigFresh: 1500 * time.Millisecond, ConfigStale: 6 * time.Second, TableFresh: 1500 * time.Millisecond}
 }
 
 func call(kind acceptor.Kind, path, key string) acceptor.Call {
@@ -90,6 +90,13 @@
 	return c
 }
 
+// admitted is what a peer asks that has checked the key.
+func admitted() acceptor.Call {
+	c := call(acceptor.KindState, "/p/"+id, "")
+	c.Forwarded, c.Admitted, c.ConfigVersion = true, true, 1
+	return c
+}
+
 var (
 	errDoubt = errors.New("no answer")
 	refused  = errors.Wrap(follower.ErrNotWritten, "busy")
@@ -123,6 +130,14 @@
 		{"a refusal after a doubt is not said to be not run", place{appendErrors: repeat(60, errDoubt, refused)}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.Unknown, "", 0},
 		{"an old configuration is not used", place{configAge: old, peer: accepted}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.Accepted, "", 0},
 		{"an old configuration without a peer", place{configAge: old}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.NotRun, "", 0},
+		{"an old configuration tells a state if no peer has a newer one", place{configAge: old, tableAge: old, views: running}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateRunning, 0},
+		{"a newer configuration goes first", place{configAge: old, views: running, peer: &acceptor.Answer{Verdict: acceptor.NoKey}}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.NoKey, "", 0},
+		{"an old configuration and the holder", place{configAge: old, tableAge: old, views: running, holder: told}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateFailed, 0},
+		{"an old configuration still checks the key", place{configAge: old, views: running}, call(acceptor.KindState, "/p/"+id, "nonsense"), acceptor.NoKey, "", 0},
+		{"too old a configuration tells nothing", place{configAge: 7 * time.Second, views: running}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.NotRun, "", 0},
+		{"an old configuration takes no cancellation", place{configAge: old, views: running}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.NotRun, "", 0},
+		{"a peer that has admitted the call", place{configAge: old, views: running}, admitted(), acceptor.Told, tabulator.StateRunning, 0},
+		{"a peer that asks for an unknown job", place{}, admitted(), acceptor.NotRun, "", 0},
 		{"an unreadable ledger refuses at once", place{tableAge: old}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.NotRun, "", 0},
 		{"state", place{views: running}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateRunning, 0},
 		{"a live state is asked of the holder", place{views: running, holder: told}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateFailed, 0},
--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -37,7 +37,9 @@
 	Retain         time.Duration
 	Grace          time.Duration
 	ConfigDeadline time.Duration
-	Visible        time.Duration
+	// ConfigStale is how old a configuration may be for telling states in an outage.
+	ConfigStale time.Duration
+	Visible     time.Duration
 }
 
 // Orders speaks to workers.
@@ -113,7 +115,7 @@
 	n.storer = &storer{node: n}
 	n.acceptor = &acceptor.Acceptor{
 		Jobs: jobs{n}, Ledger: n.storer, Catalog: n.catalog, Peers: peers{n}, Reporter: p.Reporter,
-		ConfigFresh: s.ConfigDeadline * 3 / 4, TableFresh: s.Visible / 2,
+		ConfigFresh: s.ConfigDeadline * 3 / 4, ConfigStale: s.ConfigStale, TableFresh: s.Visible / 2,
 	}
 	return n
 }
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -58,6 +58,15 @@
 		if err := n.ports.Peers.Yield(d.ctx, c.Address, c.Term); err != nil {
 			n.ports.Reporter.Event("YieldUnanswered", "Term", c.Term, "To", c.To, "Error", err.Error())
 		}
+	case scheduler.WitnessCmd:
+		err := n.ports.Peers.Witness(d.ctx, c.Address, c.Outcome)
+		n.loop.Send(scheduler.WitnessedMsg{Job: c.Job, By: c.To, Err: text(err)})
+	case scheduler.SettleCmd:
+		for _, r := range c.Outcomes {
+			if err := n.writer.Append(d.ctx, r); err != nil {
+				n.ports.Reporter.Event("WitnessedOutcomeNotWritten", "Key", r.Key, "Error", err.Error())
+			}
+		}
 	case scheduler.HoldCmd:
 		ctx, cancel := context.WithTimeout(d.ctx, time.Duration(c.WaitMS)*time.Millisecond+holdAllowance)
 		defer cancel()
@@ -144,7 +153,7 @@
 	ok = j.node.loop.Inspect(ctx, func(m *scheduler.Model) {
 		v.AsOf = j.node.asOf(m)
 		if job, known := m.Table.Lookup(id); known {
-			v.Known, v.Cancelled, v.State = true, job.Cancelled, job.State()
+			v.Known, v.Cancelled, v.State = true, job.Cancelled, m.StateOf(job)
 		}
 	})
 	return v, ok
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -109,6 +109,11 @@
 	s.node.loop.Send(scheduler.YieldMsg{Term: term})
 }
 
+// Witness hands an outcome of another instance's to the control loop.
+func (s *storer) Witness(outcome tabulator.Record) bool {
+	return s.node.loop.Send(scheduler.WitnessMsg{Outcome: outcome})
+}
+
 func storeError(r scheduler.StoreResult) error {
 	switch r {
 	case scheduler.StoreDone:
@@ -161,8 +166,8 @@
 type peers struct{ node *Node }
 
 // Forward implements acceptor.Peers.
-func (p peers) Forward(ctx context.Context, c acceptor.Call) (acceptor.Answer, bool) {
-	return p.node.ports.Peers.Forward(ctx, c)
+func (p peers) Forward(ctx context.Context, c acceptor.Call, tries int) (acceptor.Answer, bool) {
+	return p.node.ports.Peers.Forward(ctx, c, tries)
 }
 
 // AskHolder implements acceptor.Peers.
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -27,12 +27,13 @@
 // yieldPath is where an instance is asked to take the term over.
 const yieldPath = "/v1/yields"
 
+// witnessPath is where an instance is told of outcomes that are not durable yet.
+const witnessPath = "/v1/witnesses"
+
 // recordsPath is where the holder takes callers' records.
 const recordsPath = "/v1/records"
 
 const (
-	// maxTries bounds the peers that are asked for one call.
-	maxTries = 3
 	// tryTimeout bounds one peer's answer, so that a silent peer leaves time
 	// for another.
 	tryTimeout = 1200 * time.Millisecond
@@ -62,23 +63,23 @@
 }
 
 // pick returns a few peers in random order, so that callers' retries meet others.
-func (f *Forwarder) pick() []string {
+func (f *Forwarder) pick(count int) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	picked := make([]string, 0, maxTries)
+	picked := make([]string, 0, count)
 	for _, i := range rand.Perm(len(f.peers)) {
-		if len(picked) < maxTries {
+		if len(picked) < count {
 			picked = append(picked, f.peers[i])
 		}
 	}
 	return picked
 }
 
-// Forward asks peers in random order. A peer that can't serve the call either is
-// passed over.
-func (f *Forwarder) Forward(ctx context.Context, c acceptor.Call) (a acceptor.Answer, ok bool) {
+// Forward asks up to tries peers in random order. A peer that can't serve the call
+// either is passed over.
+func (f *Forwarder) Forward(ctx context.Context, c acceptor.Call, tries int) (a acceptor.Answer, ok bool) {
 	c.Forwarded = true
-	for _, address := range f.pick() {
+	for _, address := range f.pick(tries) {
 		answer, sent, err := f.try(ctx, address, c)
 		switch {
 		case err == nil && answer.Verdict != acceptor.NotRun:
@@ -179,6 +180,15 @@
 	return errors.Wrapf(err, "peer %s", address)
 }
 
+// Witness asks the instance at an address to remember an outcome until it is durable.
+func (f *Forwarder) Witness(ctx context.Context, address string, outcome tabulator.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var taken bool
+	_, err := f.post(ctx, address, witnessPath, outcome, &taken)
+	return errors.Wrapf(err, "peer %s", address)
+}
+
 // Answerer answers calls.
 type Answerer interface {
 	Answer(ctx context.Context, c acceptor.Call) acceptor.Answer
@@ -189,6 +199,8 @@
 	Store(ctx context.Context, r tabulator.Record) error
 	// TakeOver claims the term after the given one.
 	TakeOver(term uint64)
+	// Witness remembers an outcome until it is durable.
+	Witness(outcome tabulator.Record) (taken bool)
 }
 
 // Handler takes calls and records from peers.
@@ -214,6 +226,17 @@
 			reply(w, true)
 		}
 	})
+	mux.HandleFunc("POST "+witnessPath, func(w http.ResponseWriter, r *http.Request) {
+		var outcome tabulator.Record
+		if !receive(w, r, &outcome) {
+			return
+		}
+		if !s.Witness(outcome) {
+			http.Error(w, "the control loop has ended", http.StatusServiceUnavailable)
+			return
+		}
+		reply(w, true)
+	})
 	return mux
 }
 
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -32,6 +32,17 @@
 	Address string
 }
 
+// WitnessCmd asks another instance to remember an outcome until it is durable.
+type WitnessCmd struct {
+	Job     string
+	Outcome tabulator.Record
+	To      string
+	Address string
+}
+
+// SettleCmd records outcomes that this instance was asked to remember.
+type SettleCmd struct{ Outcomes []tabulator.Record }
+
 // ReadCmd asks for a read of the ledger without delay.
 type ReadCmd struct{}
 
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -230,9 +230,18 @@
 	if j.over {
 		return
 	}
-	j.over = true
 	m.event("JobEnded", "Job", j.id, "State", state, "Reason", reason, "TookMS", m.at.WallMS-j.sub.AcceptedMS)
-	m.propose(tabulator.OutcomeRecord(j.id, tabulator.Outcome{State: state, Reason: reason, AtMS: m.at.WallMS}))
+	record := tabulator.OutcomeRecord(j.id, tabulator.Outcome{State: state, Reason: reason, AtMS: m.at.WallMS})
+	m.propose(record, func(m *Model) { delete(m.unsettled, j.id) })
+	if state == tabulator.StateCompleted {
+		m.unsettled[j.id] = &outcome{record: record, sinceMS: m.at.MonoMS, by: map[string]bool{}}
+	}
+	m.closeJob(j)
+}
+
+// closeJob forgets the units of a job that has an outcome.
+func (m *Model) closeJob(j *job) {
+	j.over = true
 	var ends []endRef
 	for u := range j.units {
 		ends = append(ends, u.ends...)
--- a/internal/workload/scheduler/judge_test.go
+++ b/internal/workload/scheduler/judge_test.go
@@ -16,6 +16,8 @@
 	startedMS   int64
 	startsMS    []int64
 	doneMS      int64
+	// shownMS is when callers first saw the job as completed.
+	shownMS int64
 	// fails lets all of its tasks fail.
 	fails bool
 	// took replaces the estimates as the true time of work.
@@ -91,6 +93,9 @@
 	if j.confirmedDone[key] {
 		j.breaks("%d: %s is started after its end was confirmed", now, key)
 	}
+	if v.shownMS > 0 && !j.late {
+		j.breaks("%d: %s is started after the job was shown as completed at %d", now, key, v.shownMS)
+	}
 	if !j.late && v.cancelledMS > 0 && now > v.cancelledMS+cancelMS {
 		j.breaks("%d: %s of a job cancelled at %d is started", now, key, v.cancelledMS)
 	}
@@ -119,6 +124,20 @@
 	return true
 }
 
+// shownCompleted judges that callers see a job as completed.
+func (j *judge) shownCompleted(nowMS int64, job string) {
+	v := j.submitted[job]
+	if v.shownMS > 0 {
+		return
+	}
+	v.shownMS = nowMS
+	for step := range v.steps {
+		if !j.stepDone(job, step) {
+			j.breaks("%d: job %s is shown as completed, step %d is not", nowMS, job, step)
+		}
+	}
+}
+
 func (j *judge) ended(f *fakeWorker, run *fakeRun, kind scheduler.EndKind) {
 	key := j.key(run.ref)
 	j.running[key]--
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -190,6 +190,16 @@
 	Err     string
 }
 
+// WitnessMsg asks to remember an outcome that the holder can't record for now.
+type WitnessMsg struct{ Outcome tabulator.Record }
+
+// WitnessedMsg brings the result of a WitnessCmd. By names the instance that was asked.
+type WitnessedMsg struct {
+	Job string
+	By  string
+	Err string
+}
+
 // YieldMsg tells that the holder of a term can't write to the ledger and asks this
 // instance to claim the next one.
 type YieldMsg struct{ Term uint64 }
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -115,9 +115,13 @@
 	// order lists the live jobs in order of acceptance.
 	order    []*job
 	bookings []*booking
-	dirty    bool
-	passMS   int64
-	ended    []endedJob
+	// unsettled are the outcomes of this holder that are not durable yet.
+	unsettled map[string]*outcome
+	// witnessed are outcomes of other holders that are not durable yet.
+	witnessed map[string]witnessed
+	dirty     bool
+	passMS    int64
+	ended     []endedJob
 
 	cmds []Command
 }
@@ -132,7 +136,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: tabulator.New(), Config: &describer.Configuration{}, cfg: cfg,
-		freshMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{}, storing: map[uint64]bool{}, termSeenMS: map[uint64]int64{}, unheardReadMS: map[string]int64{},
+		freshMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{}, storing: map[uint64]bool{}, termSeenMS: map[uint64]int64{}, unheardReadMS: map[string]int64{}, unsettled: map[string]*outcome{}, witnessed: map[string]witnessed{},
 	}
 }
 
@@ -184,6 +188,10 @@
 		m.finishOrder(msg)
 	case StoreMsg:
 		m.store(msg)
+	case WitnessMsg:
+		m.witness(msg)
+	case WitnessedMsg:
+		m.finishWitness(msg)
 	case YieldMsg:
 		m.terms.yielded = max(m.terms.yielded, msg.Term)
 		m.watchTerm()
@@ -215,6 +223,7 @@
 
 func (m *Model) tick() {
 	m.watchTerm()
+	m.settleWitnessed()
 	if !m.deciding() {
 		return
 	}
@@ -222,6 +231,7 @@
 	m.yield()
 	m.watchWorkers()
 	m.watchUnits()
+	m.seekWitnesses()
 	m.forgetJobs()
 	if m.at.MonoMS-m.passMS >= passMS {
 		m.dirty = true
@@ -263,6 +273,9 @@
 
 // follow lets the holder see what other instances have recorded.
 func (m *Model) follow(r tabulator.Record) {
+	if id, ok := tabulator.OutcomeOf(r); ok {
+		m.settled(id)
+	}
 	if tabulator.IsHolders(r) {
 		m.terms.silentSinceMS = m.at.MonoMS
 		return
--- a/internal/workload/scheduler/terms.go
+++ b/internal/workload/scheduler/terms.go
@@ -150,15 +150,18 @@
 	m.terms.takenMS, m.terms.renewedMS, m.terms.renewals, m.terms.yields = m.at.MonoMS, m.at.MonoMS, 0, 0
 	m.proposer = proposer{sequence: 1}
 	m.workers, m.fleet, m.jobs, m.order, m.bookings, m.ended = map[string]*worker{}, nil, map[string]*job{}, nil, nil, nil
+	m.unsettled = map[string]*outcome{}
 	m.event("TermTaken", "Term", m.terms.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
 	m.emit(FollowWorkersCmd{On: true})
 	m.syncJobs()
+	m.endWitnessed()
 	m.dirty = true
 }
 
 func (m *Model) stepDown(reason string) {
 	m.terms.active = false
 	m.workers, m.fleet, m.jobs, m.order, m.bookings = map[string]*worker{}, nil, map[string]*job{}, nil, nil
+	m.unsettled = map[string]*outcome{}
 	m.proposer = proposer{}
 	m.abandonStoring()
 	m.event("TermLost", "Term", m.terms.number, "Reason", reason)
--- a/internal/workload/scheduler/world_test.go
+++ b/internal/workload/scheduler/world_test.go
@@ -242,11 +242,24 @@
 		Name: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.life), Power: 400,
 	}))
 	i.send(scheduler.ConfiguredMsg{Configuration: i.world.config})
-	i.loop(tickMS, func() int64 { i.send(scheduler.TickMsg{}); return tickMS })
+	i.loop(tickMS, func() int64 {
+		i.send(scheduler.TickMsg{})
+		i.show()
+		return tickMS
+	})
 	i.loop(1, i.readLedger)
 	i.loop(1, i.readWorkers)
 }
 
+// show lets callers see the jobs that the instance takes for completed.
+func (i *instance) show() {
+	for id, j := range i.model.Table.Jobs {
+		if _, known := i.model.Table.Lookup(id); known && i.model.StateOf(j) == tabulator.StateCompleted {
+			i.world.judge.shownCompleted(i.world.nowMS, id)
+		}
+	}
+}
+
 func (i *instance) kill() { i.alive = false; i.life++ }
 
 // loop repeats a step while this life of the instance goes on.
@@ -372,6 +385,17 @@
 			}
 			return msg
 		})
+	case scheduler.WitnessCmd:
+		for _, o := range w.instances {
+			if o.name == c.To && o.alive && !o.frozen {
+				w.after(w.orderWayMS, func() { o.send(scheduler.WitnessMsg{Outcome: c.Outcome}) })
+				i.reply(2*w.orderWayMS, func() scheduler.Msg { return scheduler.WitnessedMsg{Job: c.Job, By: c.To} })
+			}
+		}
+	case scheduler.SettleCmd:
+		if !w.ledger.down && !i.cutOff {
+			w.after(appendMS, func() { w.ledger.records = append(w.ledger.records, c.Outcomes...) })
+		}
 	case scheduler.YieldCmd:
 		for _, o := range w.instances {
 			if o.name == c.To {
--- a/internal/workload/tabulator/records.go
+++ b/internal/workload/tabulator/records.go
@@ -200,6 +200,12 @@
 // OutcomeRecord returns the record that ends a job.
 func OutcomeRecord(job string, o Outcome) Record { return encode(kindOutcome+"/"+job, o) }
 
+// OutcomeOf returns the job that a record of OutcomeRecord is about.
+func OutcomeOf(r Record) (job string, ok bool) {
+	kind, job, _ := strings.Cut(r.Key, "/")
+	return job, kind == kindOutcome && len(r.Value) > 0
+}
+
 // DropUnit returns the record that forgets a unit.
 func DropUnit(id UnitID) Record { return Record{Key: kindUnit + "/" + id.String()} }
 
