Refuse at once what a known outage would hold, pass over peers that are lost

Change: an instance whose reads of the ledger have failed for 300 ms passes submissions to a peer or refuses them, without sending a record. Peers that could not be reached are passed over for 2 s.

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -108,6 +108,8 @@
 // Ledger stores what callers have asked for.
 type Ledger interface {
 	Append(ctx context.Context, r tabulator.Record) error
+	// Reachable is false while the ledger is known to be out of reach.
+	Reachable() bool
 }
 
 // Catalog holds the configuration.
@@ -174,6 +176,7 @@
 
 // Answer answers one call.
 func (a *Acceptor) Answer(ctx context.Context, c Call) Answer {
+	began := time.Now()
 	answer := a.answer(ctx, c)
 	switch answer.Verdict {
 	case NotRun, Unknown, Invalid:
@@ -183,7 +186,7 @@
 			version = cfg.Version
 		}
 		a.Reporter.Event("CallRefused", "Job", c.Path[strings.LastIndexByte(c.Path, '/')+1:], "Kind", c.Kind, "Verdict", answer.Verdict,
-			"Reason", answer.Reason, "Forwarded", c.Forwarded, "ConfigVersion", version, "ConfigAgeMS", time.Since(asOf).Milliseconds())
+			"Reason", answer.Reason, "Forwarded", c.Forwarded, "TookMS", time.Since(began).Milliseconds(), "WithinMS", c.WithinMS, "ConfigVersion", version, "ConfigAgeMS", time.Since(asOf).Milliseconds())
 	}
 	return answer
 }
@@ -287,7 +290,7 @@
 	switch {
 	case ok && v.Known:
 		return Answer{Verdict: Accepted}
-	case !ok || !a.sure(v):
+	case !ok || !a.sure(v) || !a.Ledger.Reachable():
 		// A ledger that can't be read can't be expected to store the job.
 		return a.forward(ctx, c, "the ledger is out of reach")
 	}
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -24,6 +24,7 @@
 	views     map[string]acceptor.JobView
 	// appendErrors are the results of appends in turn; then they succeed.
 	appendErrors []error
+	unreachable  bool
 	written      []tabulator.Record
 	peer         *acceptor.Answer
 	holder       *acceptor.Answer
@@ -52,6 +53,8 @@
 	return nil
 }
 
+func (p *place) Reachable() bool { return !p.unreachable }
+
 func (p *place) Current() (*describer.Configuration, time.Time) {
 	c := &describer.Configuration{
 		Version: 1, Queues: []describer.Queue{{Name: "q", Host: "h", PathPrefix: "/p/"}, {Name: "long", Host: "h", PathPrefix: "/p/long/"}, {Name: "open", Host: "h", PathPrefix: "/open/", Public: true}},
@@ -138,6 +141,8 @@
 		{"an old configuration takes no cancellation", place{configAge: old, views: running}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.NotRun, "", 0},
 		{"a peer that has admitted the call", place{configAge: old, views: running}, admitted(), acceptor.Told, tabulator.StateRunning, 0},
 		{"a peer that asks for an unknown job", place{}, admitted(), acceptor.NotRun, "", 0},
+		{"a ledger that is out of reach refuses at once", place{unreachable: true}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.NotRun, "", 0},
+		{"a ledger that a peer reaches", place{unreachable: true, peer: accepted}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.Accepted, "", 0},
 		{"an unreadable ledger refuses at once", place{tableAge: old}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.NotRun, "", 0},
 		{"state", place{views: running}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateRunning, 0},
 		{"a live state is asked of the holder", place{views: running, holder: told}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.Told, tabulator.StateFailed, 0},
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -27,7 +27,8 @@
 // storer writes callers' records: through the holder, which writes them
 // together with its decisions, or directly if the holder is out of reach.
 type storer struct {
-	node *Node
+	node   *Node
+	ledger *follower.LedgerHandler
 
 	mu      sync.Mutex
 	ticket  uint64
@@ -46,6 +47,13 @@
 	return nil
 }
 
+// downAfter is how long reads of the ledger fail before nothing is written: a retry or
+// two, so that a single refusal does not count.
+const downAfter = 300 * time.Millisecond
+
+// Reachable implements acceptor.Ledger.
+func (s *storer) Reachable() bool { return !s.ledger.DownFor(downAfter) }
+
 // worse keeps the doubt of two failed attempts: nothing was written only if
 // both are sure of it.
 func worse(a, b error) error {
--- a/internal/workload/follower/handlers.go
+++ b/internal/workload/follower/handlers.go
@@ -50,6 +50,9 @@
 	h.Sink.Send(scheduler.LedgerReadMsg{From: from, Records: items, SentMS: h.ms(asOf), CaughtUp: caughtUp})
 }
 
+// DownFor reports whether reads of the ledger have failed for that long.
+func (h *LedgerHandler) DownFor(d time.Duration) bool { return h.link.downFor(d) }
+
 // Fail implements Handler.
 func (h *LedgerHandler) Fail(err error) {
 	h.link.down(h.Reporter, "Ledger", err)
@@ -178,7 +181,16 @@
 func (r *Roster) Fail(err error) { r.link.down(r.Reporter, "WorkersFeed", err) }
 
 // link reports the first failure and the recovery of a dependency.
-type link struct{ failing atomic.Bool }
+type link struct {
+	failing atomic.Bool
+	// failedAt is when the latest failure began, Unix nanoseconds.
+	failedAt atomic.Int64
+}
+
+// downFor reports whether the dependency has failed for that long without a success.
+func (l *link) downFor(d time.Duration) bool {
+	return l.failing.Load() && time.Now().UnixNano()-l.failedAt.Load() >= int64(d)
+}
 
 func (l *link) up(r Reporter, name string) (regained bool) {
 	if !l.failing.Swap(false) {
@@ -190,6 +202,7 @@
 
 func (l *link) down(r Reporter, name string, err error) {
 	if !l.failing.Swap(true) {
+		l.failedAt.Store(time.Now().UnixNano())
 		r.Event("DependencyLost", "Dependency", name, "Error", err.Error())
 	}
 }
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -50,6 +50,8 @@
 
 	mu    sync.Mutex
 	peers []string
+	// lostUntil holds the peers that could not be reached.
+	lostUntil map[string]time.Time
 }
 
 // New returns a forwarder that knows no peers yet.
@@ -62,19 +64,39 @@
 	f.peers = addresses
 }
 
-// pick returns a few peers in random order, so that callers' retries meet others.
+// lostPause is how long a peer that could not be reached is passed over: a restart
+// takes about as long.
+const lostPause = 2 * time.Second
+
+// pick returns a few peers in random order, so that callers' retries meet others. Those
+// that could not be reached a moment ago are left out.
 func (f *Forwarder) pick(count int) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	picked := make([]string, 0, count)
+	now := time.Now()
 	for _, i := range rand.Perm(len(f.peers)) {
-		if len(picked) < count {
-			picked = append(picked, f.peers[i])
+		if p := f.peers[i]; len(picked) < count && !now.Before(f.lostUntil[p]) {
+			picked = append(picked, p)
 		}
 	}
 	return picked
 }
 
+// note remembers whether a peer could be reached.
+func (f *Forwarder) note(address string, reached bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reached {
+		delete(f.lostUntil, address)
+		return
+	}
+	if f.lostUntil == nil {
+		f.lostUntil = map[string]time.Time{}
+	}
+	f.lostUntil[address] = time.Now().Add(lostPause)
+}
+
 // Forward asks up to tries peers in random order. A peer that can't serve the call
 // either is passed over.
 func (f *Forwarder) Forward(ctx context.Context, c acceptor.Call, tries int) (a acceptor.Answer, ok bool) {
@@ -154,6 +176,7 @@
 		return false, err
 	}
 	resp, err := f.client.Do(req)
+	f.note(address, err == nil)
 	if err != nil {
 		return connected.Load(), err
 	}
