Tell no state by an older configuration than callers have seen

The instance was cut off from the store; peers answered its callers by version 13, and when none could be asked for a moment it told a state by its own version 11, which it may since states are told in outages.

Change: answers name the version they were judged by; an instance remembers the newest one that its callers have been answered by, and uses no older one.

Ruled out: the ledger and the holder (states that the holder tells are not judged by a configuration).

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -86,6 +86,8 @@
 	// RetryAfterMS tells when to come back, for NotRun.
 	RetryAfterMS int64  `cbor:",omitempty"`
 	Reason       string `cbor:",omitempty"`
+	// ConfigVersion is the version that the answer was judged by, 0 if none was used.
+	ConfigVersion uint64 `cbor:",omitempty"`
 }
 
 // JobView is what the ledger tells of a job.
@@ -148,6 +150,9 @@
 	// TableFresh is the greatest age of the table that may say a job is unknown.
 	TableFresh time.Duration
 
+	// shownVersion is the newest version that callers of this instance have been answered
+	// by, here or at a peer.
+	shownVersion atomic.Uint64
 	// aloneUntil is until when no peer is expected to have a newer configuration, Unix
 	// nanoseconds.
 	aloneUntil atomic.Int64
@@ -178,6 +183,7 @@
 func (a *Acceptor) Answer(ctx context.Context, c Call) Answer {
 	began := time.Now()
 	answer := a.answer(ctx, c)
+	a.noteShown(answer)
 	switch answer.Verdict {
 	case NotRun, Unknown, Invalid:
 		cfg, asOf := a.Catalog.Current()
@@ -191,7 +197,17 @@
 	return answer
 }
 
-func (a *Acceptor) answer(ctx context.Context, c Call) Answer {
+// noteShown remembers the newest configuration that callers have seen the effect of.
+func (a *Acceptor) noteShown(answer Answer) {
+	for {
+		shown := a.shownVersion.Load()
+		if answer.ConfigVersion <= shown || a.shownVersion.CompareAndSwap(shown, answer.ConfigVersion) {
+			return
+		}
+	}
+}
+
+func (a *Acceptor) answer(ctx context.Context, c Call) (answer Answer) {
 	if c.WithinMS <= 0 {
 		c.WithinMS = defaultWithinMS
 	}
@@ -207,14 +223,20 @@
 	if c.Admitted {
 		return a.known(ctx, c)
 	}
-	if cfg == nil || time.Since(asOf) > a.ConfigFresh {
+	older := cfg != nil && cfg.Version < a.shownVersion.Load()
+	if cfg == nil || older || time.Since(asOf) > a.ConfigFresh {
 		if answer, ok := a.askWidely(ctx, c); ok {
 			return answer
 		}
-		if cfg == nil || c.Forwarded || c.Kind != KindState || time.Since(asOf) > a.ConfigStale {
+		if cfg == nil || older || c.Forwarded || c.Kind != KindState || time.Since(asOf) > a.ConfigStale {
 			return notRun("the configuration is out of date")
 		}
 	}
+	defer func() {
+		if answer.ConfigVersion == 0 && answer.Verdict != NotRun {
+			answer.ConfigVersion = cfg.Version
+		}
+	}()
 	q, workspace, refusal := admit(cfg, c)
 	if refusal != "" {
 		return Answer{Verdict: refusal}
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -221,3 +221,32 @@
 		t.Errorf("origin (-want +got):\n%s", diff)
 	}
 }
+
+// TestStaleConfigurationDoesNotGoBack lets a peer answer by a newer configuration and then
+// be lost: the own one must not show what callers have seen replaced.
+func TestStaleConfigurationDoesNotGoBack(t *testing.T) {
+	p := &place{configAge: 5 * time.Second, views: map[string]acceptor.JobView{id: {Known: true, State: tabulator.StateRunning}}}
+	a := p.acceptor()
+	p.peer = &acceptor.Answer{Verdict: acceptor.NoKey, ConfigVersion: 2}
+	if got := a.Answer(context.Background(), call(acceptor.KindState, "/p/"+id, "key")); got.Verdict != acceptor.NoKey {
+		t.Fatalf("answer %+v, want that of the peer", got)
+	}
+	p.peer = nil
+	if got := a.Answer(context.Background(), call(acceptor.KindState, "/p/"+id, "key")); got.Verdict != acceptor.NotRun {
+		t.Errorf("answer %+v by version 1 after one by version 2", got)
+	}
+	p.configAge = 0
+	if got := a.Answer(context.Background(), call(acceptor.KindState, "/p/"+id, "key")); got.Verdict != acceptor.NotRun {
+		t.Errorf("answer %+v by a fresh version 1 after one by version 2", got)
+	}
+}
+
+// TestAnswerNamesItsConfiguration tells peers by which version they were answered.
+func TestAnswerNamesItsConfiguration(t *testing.T) {
+	p := &place{}
+	c := call(acceptor.KindState, "/p/"+id, "nonsense")
+	c.Forwarded = true
+	if got := p.acceptor().Answer(context.Background(), c); got.ConfigVersion != 1 {
+		t.Errorf("answer %+v, want version 1", got)
+	}
+}
