Write the log in whole lines that pipes take in one piece

The reporter wrote 32 KB at a time, splitting lines; what reads the pipe takes 4 KB in one piece. A failed write also left the buffer in error for good, although the comment said otherwise.

Change: lines are formatted first and written whole, 4,096 bytes at most; after a failed write a new buffer goes on.

Ruled out: the queue (EventsDropped was never printed), the rate.

Both new tests failed before.

--- a/internal/workload/reporter/reporter.go
+++ b/internal/workload/reporter/reporter.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -20,7 +21,9 @@
 	bufferedEvents = 4096
 	// flushInterval is how long a line may wait in memory.
 	flushInterval = 100 * time.Millisecond
-	writeBuffer   = 32 << 10
+	// writeBytes bounds a single write. Pipes take writes of this size in one piece, so
+	// that lines of several processes do not mix.
+	writeBytes = 4096
 )
 
 type event struct {
@@ -31,8 +34,11 @@
 
 // Reporter is a bounded, non-blocking log.
 type Reporter struct {
-	events  chan event
+	events chan event
+	to     io.Writer
+	// out gathers whole lines; line holds the one that is being formatted.
 	out     *bufio.Writer
+	line    *bytes.Buffer
 	logger  *slog.Logger
 	written atomic.Int64
 	dropped atomic.Int64
@@ -41,10 +47,10 @@
 
 // New returns a reporter whose lines go to w once Run is called.
 func New(w io.Writer) *Reporter {
-	out := bufio.NewWriterSize(w, writeBuffer)
+	line := &bytes.Buffer{}
 	return &Reporter{
-		events: make(chan event, bufferedEvents), out: out, done: make(chan struct{}),
-		logger: slog.New(slog.NewJSONHandler(out, nil)),
+		events: make(chan event, bufferedEvents), to: w, out: bufio.NewWriterSize(w, writeBytes), line: line, done: make(chan struct{}),
+		logger: slog.New(slog.NewJSONHandler(line, nil)),
 	}
 }
 
@@ -102,10 +108,18 @@
 func (r *Reporter) write(e event) {
 	record := slog.NewRecord(e.at, slog.LevelInfo, e.name, 0)
 	record.Add(e.fields...)
+	r.line.Reset()
 	if err := r.logger.Handler().Handle(context.Background(), record); err != nil {
 		r.dropped.Add(1)
 		return
 	}
+	if r.line.Len() > r.out.Available() {
+		r.flush()
+	}
+	if _, err := r.out.Write(r.line.Bytes()); err != nil {
+		r.dropped.Add(1)
+		return
+	}
 	r.written.Add(1)
 }
 
@@ -113,5 +127,6 @@
 	if err := r.out.Flush(); err != nil {
 		// The reader of the log has gone; a new buffer goes on with later lines.
 		r.dropped.Add(1)
+		r.out.Reset(r.to)
 	}
 }
--- a/internal/workload/reporter/reporter_test.go
+++ b/internal/workload/reporter/reporter_test.go
@@ -65,3 +65,61 @@
 		t.Errorf("%d lines, %d written, %d dropped of %d", lines, written, dropped, flood)
 	}
 }
+
+// pipeBytes is the largest write that pipes take in one piece.
+const pipeBytes = 4096
+
+// writes notes the writes that it takes, the failing one not.
+type writes struct {
+	taken []string
+	fails int
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	if w.fails > 0 {
+		w.fails--
+		return 0, io.ErrClosedPipe
+	}
+	w.taken = append(w.taken, string(p))
+	return len(p), nil
+}
+
+func report(w io.Writer, events int) *reporter.Reporter {
+	r := reporter.New(w)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range events {
+		r.Event("RunEnded", "Job", "5c0e7a21d94b36f8", "Kind", "Done")
+	}
+	r.Run(ctx)
+	return r
+}
+
+// TestWritesAreWholeLines holds a burst against what a pipe takes in one piece: longer
+// writes come out in parts, mixed with those of other processes.
+func TestWritesAreWholeLines(t *testing.T) {
+	var w writes
+	report(&w, 1000)
+	lines := 0
+	for i, s := range w.taken {
+		if len(s) > pipeBytes || !strings.HasSuffix(s, "\n") {
+			t.Errorf("write %d has %d bytes and ends with %q", i, len(s), s[len(s)-1])
+		}
+		lines += strings.Count(s, "\n")
+	}
+	if lines != 1000 {
+		t.Errorf("%d lines, want 1000", lines)
+	}
+}
+
+// TestLogGoesOnAfterAFailedWrite loses what a failed write held, and nothing after it.
+func TestLogGoesOnAfterAFailedWrite(t *testing.T) {
+	w := writes{fails: 1}
+	r := report(&w, 1000)
+	if len(w.taken) == 0 {
+		t.Fatal("nothing was written after a failed write")
+	}
+	if _, dropped := r.Counts(); dropped == 0 {
+		t.Error("the failed write is not counted")
+	}
+}
