Use workers last on which something has failed, read less often in the rear

Change: a worker on which something failed since the last success costs more than one without, so gangs use it last. Instances in the rear read the ledger at most every 600 ms instead of 350; with the wait for a record that keeps their table under 1.5 s.

Ruled out: closing a worker after one failure (one task in twenty fails by its own fault).

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -126,9 +126,9 @@
 	ledgerWait             = 600 * time.Millisecond
 	holderLedgerInterval   = 30 * time.Millisecond
 	followerLedgerInterval = 200 * time.Millisecond
-	// rearLedgerInterval is for instances that are unlikely to decide next: a
-	// quarter of the age at which a table is too old for callers.
-	rearLedgerInterval = 350 * time.Millisecond
+	// rearLedgerInterval is for instances that are unlikely to decide next: with
+	// the wait, less than the age at which a table is too old for callers.
+	rearLedgerInterval = 600 * time.Millisecond
 	operatorsInterval  = 100 * time.Millisecond
 	workersWait        = time.Second
 	workersInterval    = 300 * time.Millisecond
--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -276,3 +276,30 @@
 	}
 	return count
 }
+
+// TestGangAvoidsAWorkerThatHasFailed lets one worker fail a single task. A gang that has
+// room elsewhere must not be put at risk there.
+func TestGangAvoidsAWorkerThatHasFailed(t *testing.T) {
+	w := settled(t)
+	w.submit("batch", "a", jobA, tasks(1, 1, 1000))
+	w.run(3500)
+	bad := w.runsOn(t, jobA)
+	bad.fails = true
+	for _, r := range bad.sorted() {
+		bad.plan(r)
+	}
+	w.run(4500)
+	if len(bad.ends) == 0 && len(bad.startsMS) != 1 {
+		t.Fatalf("the worker has started %d tasks, want 1 that has failed", len(bad.startsMS))
+	}
+	before := len(bad.startsMS)
+	for n := range 5 {
+		id := fmt.Sprintf("aa%014x", n)
+		w.after(int64(n)*1500, func() { w.submit("render", "a", id, gang(2, 4, 1000)) })
+	}
+	w.run(15000)
+	if more := len(bad.startsMS) - before; more > 0 {
+		t.Errorf("%d tasks of gangs were started on a worker that has failed its only task", more)
+	}
+	w.expectKept(t)
+}
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -110,6 +110,9 @@
 
 func (m *Model) node(w *worker) packer.Node {
 	n := packer.Node{Rack: w.Rack, Labels: w.Labels, Room: w.Room, Free: w.Room, Closed: !m.fit(w)}
+	if w.trust.doubtful() {
+		n.Cost = doubtCost
+	}
 	for _, r := range w.runs.list {
 		n.Free = n.Free.Sub(r.need)
 	}
--- a/internal/workload/scheduler/trust.go
+++ b/internal/workload/scheduler/trust.go
@@ -24,6 +24,14 @@
 	sluggishUntilMS int64
 }
 
+// doubtCost is what a doubtful worker costs, in core-milliseconds: anything that does not
+// outweigh work that would be lost, so that it is used last.
+const doubtCost = 1000
+
+// doubtful reports whether something failed here and nothing has succeeded since: a gang
+// is lost with one task.
+func (t trust) doubtful() bool { return len(t.failedJobs) > 0 }
+
 // noteFailure counts a failed run against its worker.
 func (m *Model) noteFailure(w *worker, job string) {
 	if !slices.Contains(w.trust.failedJobs, job) {
