Suspect no worker for work that an earlier holder has started

The new holder took the first sight of a run for the beginning of its work, so the next report showed an impossible speed, and the one after that a slow run.

Change: the beginning of adopted work is unknown; its speed comes from two reports.

Ruled out: hung workers (Stalled is false in each of these lines), estimates.

--- a/internal/workload/scheduler/progress_test.go
+++ b/internal/workload/scheduler/progress_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"daisyhead/internal/workload/scheduler"
 )
 
 // runsOn returns a worker that runs a task of the job.
@@ -131,3 +133,27 @@
 	}
 	w.expectKept(t)
 }
+
+// TestTakeOverSuspectsNobody kills the holder in the middle of some work. Its successor
+// sees the work for the first time when most of it is done, which is no measure of speed.
+func TestTakeOverSuspectsNobody(t *testing.T) {
+	w := settled(t)
+	suspected := 0
+	w.trace = func(_ string, e scheduler.EventCmd) {
+		if e.Name == "WorkerSluggish" {
+			suspected++
+		}
+	}
+	w.submit("urgent", "a", jobA, gang(2, 8, 20000))
+	w.submit("render", "b", jobB, tasks(3, 2, 20000))
+	w.run(15000)
+	w.holder().kill()
+	w.run(40000)
+	w.check(t, bothCompleted())
+	if suspected > 0 {
+		t.Errorf("%d workers were suspected", suspected)
+	}
+	if starts := w.judge.starts; starts != 5 {
+		t.Errorf("%d starts, want 5", starts)
+	}
+}
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -43,7 +43,9 @@
 	settledMS int64
 	// startedMS is when the run was first known to be present.
 	startedMS int64
-	track     forecaster.Track
+	// adopted is set for a run that an earlier holder has started, at an unknown time.
+	adopted bool
+	track   forecaster.Track
 }
 
 // endRef is an end on a worker that is to be confirmed.
@@ -66,10 +68,11 @@
 	return u.id.Index
 }
 
-func (m *Model) addRun(u *unit, i int, w *worker, s runState) {
+func (m *Model) addRun(u *unit, i int, w *worker, s runState) *run {
 	r := &run{ref: u.task(u.memberIndex(i)), unit: u, worker: w, need: u.step.spec.Reserved(), state: s}
 	u.runs = append(u.runs, r)
 	w.runs.add(r)
+	return r
 }
 
 func (m *Model) sendStart(r *run) {
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -70,7 +70,7 @@
 	case tabulator.PhasePlaced:
 		u.enter(unitStarting, m.at.MonoMS)
 		for i, name := range rec.Workers {
-			m.addRun(u, i, m.worker(name), runAdopted)
+			m.addRun(u, i, m.worker(name), runAdopted).adopted = true
 		}
 	}
 }
@@ -114,7 +114,7 @@
 	u.enter(unitRunning, m.at.MonoMS)
 	for _, r := range u.runs {
 		r.track.Begin(m.at.MonoMS)
-		if u.rec.Checkpoint == "" {
+		if u.rec.Checkpoint == "" && !r.adopted {
 			r.track.Note(m.at.MonoMS, 0)
 		}
 	}
