--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -24,6 +24,10 @@
 // errNotHolder tells that nothing was written: the instance does not decide.
 var errNotHolder = errors.Wrap(follower.ErrNotWritten, "this instance does not decide")
 
+// errUnreadable tells that nothing was written: an instance of another version may have
+// made the record.
+var errUnreadable = errors.Wrap(follower.ErrNotWritten, "the holder can't read the record")
+
 // storer writes callers' records: through the holder, which writes them
 // together with its decisions, or directly if the holder is out of reach.
 type storer struct {
@@ -128,6 +132,8 @@
 		return nil
 	case scheduler.StoreNotHolder:
 		return errNotHolder
+	case scheduler.StoreInvalid:
+		return errUnreadable
 	}
 	return errors.New("the term was lost while the record was written")
 }
--- a/internal/workload/follower/silence_test.go
+++ b/internal/workload/follower/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,22 +14,45 @@
 
 // silentFeed does not answer calls that were sent before a time.
 type silentFeed struct {
+	mu     sync.Mutex
 	until  time.Time
 	loaded time.Time
 	read   time.Time
 }
 
 func (f *silentFeed) answer(ctx context.Context, at *time.Time) error {
-	if time.Now().Before(f.until) {
+	if f.silent() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if at.IsZero() {
 		*at = time.Now()
 	}
 	return nil
 }
 
+func (f *silentFeed) silent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.until)
+}
+
+// silence begins one more silence and forgets the answers before.
+func (f *silentFeed) silence(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.until, f.loaded, f.read = time.Now().Add(d), time.Time{}, time.Time{}
+}
+
+// late returns how long after the silence an answer came; ok is false if none did.
+func (f *silentFeed) late(at *time.Time) (late time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return at.Sub(f.until), !at.IsZero()
+}
+
 func (f *silentFeed) Newest(ctx context.Context, limit time.Duration) ([]string, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -55,20 +79,20 @@
 func TestSilenceEnds(t *testing.T) {
 	for _, silence := range []time.Duration{900 * time.Millisecond, 2200 * time.Millisecond, 6700 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
-			start := time.Now()
-			f := &silentFeed{until: start.Add(silence)}
+			f := &silentFeed{}
+			f.silence(silence)
 			ctx, cancel := context.WithCancel(context.Background())
-			pace := func() follower.Pace { return follower.Pace{Wait: time.Second, Interval: 100 * time.Millisecond} }
-			go follower.NewReader(f, &history{}, pace).Run(ctx)
 			defer synctest.Wait()
 			defer cancel()
+			pace := func() follower.Pace { return follower.Pace{Wait: time.Second, Interval: 100 * time.Millisecond} }
+			go follower.NewReader(f, &history{}, pace).Run(ctx)
 			time.Sleep(silence + 5*time.Second)
-			if late := f.loaded.Sub(f.until); f.loaded.IsZero() || late > regainTarget {
+			if late, ok := f.late(&f.loaded); !ok || late > regainTarget {
 				t.Errorf("after %s of silence: loaded %s later, the target is %s", silence, late, regainTarget)
 			}
-			f.until, f.read = time.Now().Add(silence), time.Time{}
+			f.silence(silence)
 			time.Sleep(silence + 5*time.Second)
-			if late := f.read.Sub(f.until); f.read.IsZero() || late > regainTarget {
+			if late, ok := f.late(&f.read); !ok || late > regainTarget {
 				t.Errorf("after %s of silence: read %s later, the target is %s", silence, late, regainTarget)
 			}
 		})
--- a/internal/workload/scheduler/booking.go
+++ b/internal/workload/scheduler/booking.go
@@ -74,43 +74,52 @@
 		p.hold(u.booking)
 		return true
 	}
-	places, victims, ok := m.findRoom(p, nodes, c, r)
+	found, ok := m.findRoom(p, nodes, c, r)
 	if !ok {
 		return false
 	}
 	b := &booking{unit: u, request: r, madeMS: m.at.MonoMS}
-	for _, i := range places {
+	for _, i := range found.places {
 		b.on = append(b.on, p.workers[i])
 	}
 	u.booking = b
 	m.bookings = append(m.bookings, b)
-	m.event("RoomBooked", "Job", u.id.Job, "Unit", u.id.String(), "Workers", ids(b.on), "Stops", len(victims))
-	for _, v := range victims {
-		m.event("UnitPreempted", "Job", v.ref.Unit.Job, "Unit", v.ref.Unit.String(), "For", u.id.Job, "Worker", v.worker.ID, "LostCoreMS", int64(m.loss(v)))
+	m.event("RoomBooked", "Job", u.id.Job, "Unit", u.id.String(), "Workers", ids(b.on), "Stops", len(found.victims), "Claimed", found.claimed)
+	for _, v := range found.victims {
+		m.event("UnitPreempted", "Job", v.ref.Unit.Job, "Unit", v.ref.Unit.String(), "For", u.id.Job, "Worker", v.worker.ID, "LostCoreMS", int64(m.loss(v)), "Claimed", found.claimed)
 		m.stopUnit(v.unit, "preempted for job "+u.id.Job)
 	}
 	p.hold(b)
 	return true
 }
 
+// room is where an urgent unit can go once the victims have stopped.
+type room struct {
+	places  []int
+	victims []*run
+	// claimed is set within the workspace's guarantee.
+	claimed bool
+}
+
 // findRoom chooses the workers on which the least work is lost: whatever that costs
 // within the workspace's guarantee, and beyond it if little is lost.
-func (m *Model) findRoom(p *plan, nodes []packer.Node, c candidate, r packer.Request) (places []int, victims []*run, ok bool) {
+func (m *Model) findRoom(p *plan, nodes []packer.Node, c candidate, r packer.Request) (found room, ok bool) {
 	freed := slices.Clone(nodes)
 	for i := range p.workers {
 		m.offer(p, freed, i, r)
 	}
-	if places, ok = packer.Place(freed, r); !ok {
-		return nil, nil, false
+	if found.places, ok = packer.Place(freed, r); !ok {
+		return found, false
 	}
 	workspace := c.step.job.sub.Job.Workspace
-	claimed := p.used[workspace]+r.Count*r.Need.Accelerators <= m.Config.Guaranteed(workspace)
-	victims, lost := m.victims(p, nodes, places, r)
-	if !claimed && lost > m.worthLosing(c.step) {
-		return nil, nil, false
+	found.claimed = p.used[workspace]+r.Count*r.Need.Accelerators <= m.Config.Guaranteed(workspace)
+	victims, lost := m.victims(p, nodes, found.places, r)
+	if !found.claimed && lost > m.worthLosing(c.step) {
+		return found, false
 	}
 	p.used[workspace] += r.Count * r.Need.Accelerators
-	return places, victims, true
+	found.victims = victims
+	return found, true
 }
 
 // offer adds the room of runs that end soon and of those that can be stopped. Its cost
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -92,6 +92,8 @@
 	StoreDone StoreResult = "Done"
 	// StoreNotHolder tells that nothing was written: another instance decides.
 	StoreNotHolder StoreResult = "NotHolder"
+	// StoreInvalid tells that nothing was written: the record can't be read.
+	StoreInvalid StoreResult = "Invalid"
 	// StoreUnknown tells that the record may have been written.
 	StoreUnknown StoreResult = "Unknown"
 )
--- a/internal/workload/scheduler/kinds_test.go
+++ b/internal/workload/scheduler/kinds_test.go
@@ -6,6 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/scheduler"
 	"daisyhead/internal/workload/tabulator"
 )
 
@@ -161,3 +162,20 @@
 	w.run(20000)
 	w.check(t, map[string]tabulator.State{jobA: tabulator.StateCompleted})
 }
+
+// TestUnreadableSubmissionIsRefused hands the holder a submission of a form that it does
+// not know.
+func TestUnreadableSubmissionIsRefused(t *testing.T) {
+	w := settled(t)
+	h := w.holder()
+	at := scheduler.Instant{MonoMS: w.nowMS - h.startMS, WallMS: wallStartMS + w.nowMS}
+	var got []scheduler.StoreResult
+	for _, c := range h.model.Update(at, scheduler.StoreMsg{Ticket: 7, Record: tabulator.Record{Key: "submission/" + jobA, Value: []byte{0xff}}}) {
+		if s, ok := c.(scheduler.StoredCmd); ok {
+			got = append(got, s.Result)
+		}
+	}
+	if diff := cmp.Diff([]scheduler.StoreResult{scheduler.StoreInvalid}, got); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+}
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -35,6 +35,14 @@
 	request   packer.Request
 }
 
+// alikeForAll reports whether any unit with the shape finds as little room as this one:
+// nothing about its place depends on its own step or history.
+func (s shape) alikeForAll(u *unit, advised bool) bool {
+	spec := u.step.spec
+	own := s.request.MaxPerWorker > 0 || len(u.failedOn) > 0 || serving(spec) || spec.FillsIdle
+	return !own && !s.urgent && !advised
+}
+
 // pass places waiting units while there is room, the most valuable first.
 func (m *Model) pass() {
 	if !m.dirty || !m.fresh() || m.at.MonoMS-m.passMS < passGapMS {
@@ -158,7 +166,7 @@
 			continue
 		}
 		if !ok {
-			p.failed[sh] = p.failed[sh] || r.MaxPerWorker == 0 && len(u.failedOn) == 0 && !sh.urgent && !c.queue.Advised && !serving(c.step.spec) && !c.step.spec.FillsIdle
+			p.failed[sh] = p.failed[sh] || sh.alikeForAll(u, c.queue.Advised)
 			m.noteWaiting(c.step.job, "no room")
 			return
 		}
--- a/internal/workload/scheduler/storing.go
+++ b/internal/workload/scheduler/storing.go
@@ -13,6 +13,11 @@
 		m.emit(StoredCmd{Ticket: msg.Ticket, Result: StoreNotHolder})
 		return
 	}
+	if _, ok := tabulator.DecodeSubmission(msg.Record); !ok && tabulator.IsSubmission(msg.Record) {
+		m.event("RecordUnreadable", "Key", msg.Record.Key)
+		m.emit(StoredCmd{Ticket: msg.Ticket, Result: StoreInvalid})
+		return
+	}
 	if m.stored(msg.Record) {
 		m.emit(StoredCmd{Ticket: msg.Ticket, Result: StoreDone})
 		return
