Count only open workers when kept room could starve a gang

Change: idle and open accelerators are counted for each service over workers that may be given work, and kept room is opened above 40 % idle, as the platform allows no wait at 50 %.

Ruled out: the closed domain (open again since 50.7 s), booked room (none), doubted workers.

--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -303,3 +303,23 @@
 	}
 	w.expectKept(t)
 }
+
+// TestKeptRoomOfAShrunkenFleet lets half of the fleet leave. What has left must not count
+// when a gang needs the last whole rack, which is kept for urgent work.
+func TestKeptRoomOfAShrunkenFleet(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.addWorkers(4, 4)
+	w.startAll()
+	w.run(3000)
+	for _, f := range w.workers {
+		f.spec.Draining = f.spec.Rack == "r2" || f.spec.Rack == "r3"
+	}
+	scattered := tasks(4, 1, 60000)
+	scattered.RequireLabel, scattered.MaxPerWorker = "r1", 1
+	w.submit("batch", "b", jobB, scattered)
+	w.run(4000)
+	w.submit("render", "a", jobA, gang(4, 8, 2000))
+	w.run(4000 + reclaimMS)
+	w.expectBegun(t, jobA, reclaimMS)
+	w.expectKept(t)
+}
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -21,8 +21,8 @@
 	others []packer.Node
 	// used counts each workspace's accelerators in jobs of priority 0.
 	used map[string]int
-	// idle counts the free accelerators of open workers, total all accelerators.
-	idle, total int
+	// idle counts the free accelerators of each service's open workers, open all of theirs.
+	idle, open map[string]int
 	// failed holds the requests that found no place.
 	failed map[shape]bool
 }
@@ -97,7 +97,7 @@
 }
 
 func (m *Model) newPlan() *plan {
-	p := &plan{used: map[string]int{}, failed: map[shape]bool{}, index: map[*worker]int{}}
+	p := &plan{used: map[string]int{}, failed: map[shape]bool{}, index: map[*worker]int{}, idle: map[string]int{}, open: map[string]int{}}
 	p.workers = m.fleet
 	for i, w := range p.workers {
 		p.index[w] = i
@@ -157,7 +157,7 @@
 			open = m.permitted(p, c, open, r)
 		}
 		places, ok := packer.Place(open, r)
-		if !ok && !sh.urgent && p.mostlyIdle() {
+		if !ok && !sh.urgent && p.mostlyIdle(c.queue.Service) {
 			// Wide gangs may need just the racks that are kept free.
 			places, ok = packer.Place(p.opened(open, c), r)
 		}
@@ -200,8 +200,15 @@
 	return others
 }
 
-// mostlyIdle reports whether more than half of the fleet is free.
-func (p *plan) mostlyIdle() bool { return p.idle*2 > p.total }
+// idleShare is the part of a service's open workers, in percent, above which room that
+// is kept free starves nobody: the platform allows no job to wait when half is free, and
+// counts a little differently.
+const idleShare = 40
+
+// mostlyIdle reports whether a large part of the service's open workers is free.
+func (p *plan) mostlyIdle(service string) bool {
+	return p.idle[service]*100 > p.open[service]*idleShare
+}
 
 // opened returns the nodes as a step that is not urgent sees them, with those that
 // are kept free opened.
@@ -222,7 +229,7 @@
 		p.setFree(i, p.nodes[i].Free.Sub(r.Need))
 		nodes[i].Free = p.nodes[i].Free
 		nodes[i].Taken++
-		p.idle -= r.Need.Accelerators
+		p.idle[p.workers[i].Service] -= r.Need.Accelerators
 	}
 }
 
@@ -300,13 +307,14 @@
 // that a gang fits into one of them.
 func (p *plan) keepFree() {
 	p.others = slices.Clone(p.nodes)
-	total, idle := 0, 0
+	total := 0
 	free := map[string]int{}
 	var empty []int
 	for i, n := range p.nodes {
 		total += n.Room.Accelerators
 		if !n.Closed {
-			idle += n.Free.Accelerators
+			p.idle[p.workers[i].Service] += n.Free.Accelerators
+			p.open[p.workers[i].Service] += n.Room.Accelerators
 		}
 		if !n.Closed && n.Free == n.Room {
 			empty = append(empty, i)
@@ -317,7 +325,6 @@
 		x, y := p.nodes[a].Rack, p.nodes[b].Rack
 		return cmp.Or(cmp.Compare(free[y], free[x]), cmp.Compare(x, y))
 	})
-	p.idle, p.total = idle, total
 	want := total / keptShare
 	for _, i := range empty {
 		if want <= 0 {
