Let a leaving instance answer each call before it closes

All holders leave one after the other there, so a record can wait for a term for longer than the instance stays.

Ruled out: the freeze of another instance (the cut ones were calm), connections that the balancer still opens (readiness had failed 3 s before).

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -153,6 +153,8 @@
 	// shownVersion is the newest version that callers of this instance have been answered
 	// by, here or at a peer.
 	shownVersion atomic.Uint64
+	// closesAt is when a leaving instance closes its last connection, Unix nanoseconds.
+	closesAt atomic.Int64
 	// aloneUntil is until when no peer is expected to have a newer configuration, Unix
 	// nanoseconds.
 	aloneUntil atomic.Int64
@@ -177,8 +179,26 @@
 	// alonePause is the time between two searches for a peer with a newer
 	// configuration: a few reads.
 	alonePause = 300 * time.Millisecond
+	// closeMargin is kept for the answers of a leaving instance to be written.
+	closeMargin = 300 * time.Millisecond
 )
 
+// CloseBy lets each call be answered before a time at which connections are closed.
+func (a *Acceptor) CloseBy(t time.Time) { a.closesAt.Store(t.UnixNano()) }
+
+// within returns how long a call may take, in milliseconds.
+func (a *Acceptor) within(ms int64) int64 {
+	if ms <= 0 {
+		ms = defaultWithinMS
+	}
+	closes := a.closesAt.Load()
+	if closes == 0 {
+		return ms
+	}
+	left := time.Until(time.Unix(0, closes)) - closeMargin
+	return min(ms, max(left, closeMargin).Milliseconds())
+}
+
 // Answer answers one call.
 func (a *Acceptor) Answer(ctx context.Context, c Call) Answer {
 	began := time.Now()
@@ -208,9 +228,7 @@
 }
 
 func (a *Acceptor) answer(ctx context.Context, c Call) (answer Answer) {
-	if c.WithinMS <= 0 {
-		c.WithinMS = defaultWithinMS
-	}
+	c.WithinMS = a.within(c.WithinMS)
 	ctx, cancel := context.WithTimeout(ctx, max(time.Duration(c.WithinMS)*time.Millisecond-answerMargin, answerMargin))
 	defer cancel()
 	cfg, asOf := a.Catalog.Current()
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -250,3 +250,21 @@
 		t.Errorf("answer %+v, want version 1", got)
 	}
 }
+
+// TestLeavingInstanceAnswersBeforeItCloses lets a record wait for longer than a leaving
+// instance stays. The caller gets an answer and not a broken connection.
+func TestLeavingInstanceAnswersBeforeItCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &place{appendErrors: repeat(100, errDoubt)}
+		a := p.acceptor()
+		closes := time.Now().Add(1500 * time.Millisecond)
+		a.CloseBy(closes)
+		got := a.Answer(context.Background(), call(acceptor.KindSubmit, "/p/"+id, "key"))
+		if got.Verdict != acceptor.Unknown {
+			t.Errorf("answer %+v, want %s", got, acceptor.Unknown)
+		}
+		if left := time.Until(closes); left <= 0 {
+			t.Errorf("answered %s after the connection was closed", -left)
+		}
+	})
+}
--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -235,8 +235,9 @@
 	headerTimeout = 3 * time.Second
 	// callerIdleTimeout is longer than any pause that callers usually make.
 	callerIdleTimeout = 60 * time.Second
-	// closeTimeout bounds the wait for the last answers.
-	closeTimeout = time.Second
+	// closeShare of the grace period is the wait for the last answers. The rest is left
+	// for ending the process.
+	closeShare = 0.25
 )
 
 // closing asks callers to leave with their next answer once the instance stops.
@@ -250,11 +251,13 @@
 }
 
 func (n *Node) leave(servers []*http.Server) {
+	stay, wait := share(n.settings.Grace, leaveShare), share(n.settings.Grace, closeShare)
+	n.acceptor.CloseBy(time.Now().Add(stay + wait))
 	n.status.leaving.Store(true)
 	n.ports.Reporter.Event("Leaving", "Instance", n.settings.Instance)
 	n.loop.Send(scheduler.LeaveMsg{})
-	time.Sleep(time.Duration(leaveShare * float64(n.settings.Grace)))
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	time.Sleep(stay)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	var group errgroup.Group
 	for _, s := range servers {
@@ -264,3 +267,5 @@
 		n.ports.Reporter.Event("ConnectionsCut", "Error", fmt.Sprint(err))
 	}
 }
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
