--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -18,87 +18,6 @@
 	"daisyhead/internal/workload/tabulator"
 )
 
-// Kind is what a caller asks for.
-type Kind string
-
-// The kinds of call.
-const (
-	KindSubmit Kind = "Submit"
-	KindState  Kind = "State"
-	KindCancel Kind = "Cancel"
-)
-
-// Call is a caller's request.
-type Call struct {
-	Kind Kind
-	Host string
-	Path string
-	// Key proves the workspace.
-	Key string
-	// Job is set for KindSubmit; its ID and Workspace are filled in here.
-	Job *describer.Job `cbor:",omitempty"`
-	// Fault tells why the submitted job could not be understood.
-	Fault string `cbor:",omitempty"`
-	// WithinMS is how long the caller waits for the answer.
-	WithinMS int64
-	// Forwarded is set when a peer has passed the call on.
-	Forwarded bool `cbor:",omitempty"`
-	// ConfigVersion is the version that the peer has in force: its callers must not
-	// see an older one.
-	ConfigVersion uint64 `cbor:",omitempty"`
-	// Admitted is set when the peer has found the queue and checked the key, and asks
-	// just for the job's state.
-	Admitted bool `cbor:",omitempty"`
-}
-
-// Verdict is the kind of an answer.
-type Verdict string
-
-// The verdicts.
-const (
-	// Accepted means that the job is stored.
-	Accepted Verdict = "Accepted"
-	// Told carries a job's State.
-	Told Verdict = "Told"
-	// Counted carries a queue's Pending.
-	Counted Verdict = "Counted"
-	// Cancelled means that the cancellation is stored.
-	Cancelled Verdict = "Cancelled"
-	// NoQueue means that no queue has the host and path.
-	NoQueue Verdict = "NoQueue"
-	// NoKey means that the key belongs to no workspace.
-	NoKey Verdict = "NoKey"
-	// NoJob means that there is no such job.
-	NoJob Verdict = "NoJob"
-	// Invalid means that the job can't be understood.
-	Invalid Verdict = "Invalid"
-	// NotRun means that the call had no effect and will have none.
-	NotRun Verdict = "NotRun"
-	// Unknown means that the call may have had an effect.
-	Unknown Verdict = "Unknown"
-)
-
-// Answer is what the caller gets.
-type Answer struct {
-	Verdict Verdict
-	State   tabulator.State `cbor:",omitempty"`
-	Pending int             `cbor:",omitempty"`
-	// RetryAfterMS tells when to come back, for NotRun.
-	RetryAfterMS int64  `cbor:",omitempty"`
-	Reason       string `cbor:",omitempty"`
-	// ConfigVersion is the version that the answer was judged by, 0 if none was used.
-	ConfigVersion uint64 `cbor:",omitempty"`
-}
-
-// JobView is what the ledger tells of a job.
-type JobView struct {
-	Known     bool
-	Cancelled bool
-	State     tabulator.State
-	// AsOf is the time as of which the ledger was read completely.
-	AsOf time.Time
-}
-
 // Jobs looks into the table of jobs.
 type Jobs interface {
 	Job(ctx context.Context, id string) (JobView, bool)
@@ -217,44 +136,37 @@
 	return answer
 }
 
-// noteShown remembers the newest configuration that callers have seen the effect of.
-func (a *Acceptor) noteShown(answer Answer) {
-	for {
-		shown := a.shownVersion.Load()
-		if answer.ConfigVersion <= shown || a.shownVersion.CompareAndSwap(shown, answer.ConfigVersion) {
-			return
-		}
-	}
-}
-
-func (a *Acceptor) answer(ctx context.Context, c Call) (answer Answer) {
+func (a *Acceptor) answer(ctx context.Context, c Call) Answer {
 	c.WithinMS = a.within(c.WithinMS)
 	ctx, cancel := context.WithTimeout(ctx, max(time.Duration(c.WithinMS)*time.Millisecond-answerMargin, answerMargin))
 	defer cancel()
 	cfg, asOf := a.Catalog.Current()
-	switch {
-	case c.Forwarded && (cfg == nil || cfg.Version < c.ConfigVersion):
+	if c.Forwarded && (cfg == nil || cfg.Version < c.ConfigVersion) {
 		return notRun("the configuration is older than that of the asking instance")
-	case cfg != nil:
+	}
+	if cfg != nil {
 		c.ConfigVersion = max(c.ConfigVersion, cfg.Version)
 	}
 	if c.Admitted {
 		return a.known(ctx, c)
 	}
-	older := cfg != nil && cfg.Version < a.shownVersion.Load()
-	if cfg == nil || older || time.Since(asOf) > a.ConfigFresh {
+	if !a.current(cfg, asOf) {
 		if answer, ok := a.askWidely(ctx, c); ok {
 			return answer
 		}
-		if cfg == nil || older || c.Forwarded || c.Kind != KindState || time.Since(asOf) > a.ConfigStale {
+		if !a.usableInOutage(cfg, asOf, c) {
 			return notRun("the configuration is out of date")
 		}
 	}
-	defer func() {
-		if answer.ConfigVersion == 0 && answer.Verdict != NotRun {
-			answer.ConfigVersion = cfg.Version
-		}
-	}()
+	answer := a.serve(ctx, c, cfg)
+	if answer.ConfigVersion == 0 && answer.Verdict != NotRun {
+		answer.ConfigVersion = cfg.Version
+	}
+	return answer
+}
+
+// serve answers a call by a configuration.
+func (a *Acceptor) serve(ctx context.Context, c Call, cfg *describer.Configuration) Answer {
 	q, workspace, refusal := admit(cfg, c)
 	if refusal != "" {
 		return Answer{Verdict: refusal}
@@ -273,17 +185,6 @@
 	return a.state(ctx, c, id)
 }
 
-// askWidely looks for a peer with a newer configuration.
-func (a *Acceptor) askWidely(ctx context.Context, c Call) (answer Answer, ok bool) {
-	if c.Forwarded || time.Now().UnixNano() < a.aloneUntil.Load() {
-		return answer, false
-	}
-	if answer, ok = a.Peers.Forward(ctx, c, wideTries); !ok {
-		a.aloneUntil.Store(time.Now().Add(alonePause).UnixNano())
-	}
-	return answer, ok
-}
-
 // known tells the state of a job, if it is known here, to a peer that has admitted the
 // call.
 func (a *Acceptor) known(ctx context.Context, c Call) Answer {
@@ -294,19 +195,6 @@
 	return Answer{Verdict: Told, State: v.State}
 }
 
-// admit finds the queue and checks the key.
-func admit(cfg *describer.Configuration, c Call) (q describer.Queue, workspace string, refusal Verdict) {
-	q, ok := cfg.Route(c.Host, c.Path)
-	if !ok {
-		return q, "", NoQueue
-	}
-	w, ok := cfg.WorkspaceOfKey(c.Key)
-	if !ok && !q.Public {
-		return q, "", NoKey
-	}
-	return q, w.Name, ""
-}
-
 // idLength is the length of a job's ID in hexadecimal digits.
 const idLength = 16
 
--- a/internal/workload/scheduler/booking.go
+++ b/internal/workload/scheduler/booking.go
@@ -38,8 +38,8 @@
 	})
 }
 
-// hold takes the booked room off the nodes, release gives it back.
-func (p *plan) hold(b *booking) {
+// reserve takes the booked room off the nodes, unreserve gives it back.
+func (p *plan) reserve(b *booking) {
 	for _, w := range b.on {
 		if i, ok := p.index[w]; ok {
 			p.setFree(i, p.nodes[i].Free.Sub(b.request.Need))
@@ -47,7 +47,7 @@
 	}
 }
 
-func (p *plan) release(b *booking) {
+func (p *plan) unreserve(b *booking) {
 	for _, w := range b.on {
 		if i, ok := p.index[w]; ok {
 			p.setFree(i, p.nodes[i].Free.Add(b.request.Need))
@@ -71,7 +71,7 @@
 // it for the unit.
 func (m *Model) book(p *plan, nodes []packer.Node, c candidate, u *unit, r packer.Request) bool {
 	if u.booking != nil {
-		p.hold(u.booking)
+		p.reserve(u.booking)
 		return true
 	}
 	found, ok := m.findRoom(p, nodes, c, r)
@@ -89,7 +89,7 @@
 		m.event("UnitPreempted", "Job", v.ref.Unit.Job, "Unit", v.ref.Unit.String(), "For", u.id.Job, "Worker", v.worker.ID, "LostCoreMS", int64(m.loss(v)), "Claimed", found.claimed)
 		m.stopUnit(v.unit, "preempted for job "+u.id.Job)
 	}
-	p.hold(b)
+	p.reserve(b)
 	return true
 }
 
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -110,7 +110,7 @@
 	}
 	m.dropBookings()
 	for _, b := range m.bookings {
-		p.hold(b)
+		p.reserve(b)
 		p.used[b.unit.step.job.sub.Job.Workspace] += len(b.on) * b.request.Need.Accelerators
 	}
 	return p
@@ -147,7 +147,7 @@
 			continue
 		}
 		if u.booking != nil {
-			p.release(u.booking)
+			p.unreserve(u.booking)
 		}
 		if sh.urgent {
 			p.view(nodes)
--- a/internal/workload/scheduler/progress.go
+++ b/internal/workload/scheduler/progress.go
@@ -25,8 +25,8 @@
 	r.track.Note(m.at.MonoMS, p.Percent)
 }
 
-// judgeProgress moves work off a worker on which it stands still or crawls. A gang
-// whose other members are to blame is left alone: its own progress is complete.
+// judgeProgress moves work off a worker on which it stands still or has become slow. A
+// member of a gang that waits for the others has done its own work and does not count.
 func (m *Model) judgeProgress(w *worker) {
 	for _, r := range w.runs.snapshot() {
 		u := r.unit
--- a/internal/workload/scheduler/trust.go
+++ b/internal/workload/scheduler/trust.go
@@ -20,7 +20,7 @@
 	failedJobs []string
 	untilMS    int64
 	// sluggishUntilMS is until when the worker gets nothing new because work stood
-	// still or crawled there. A success does not clear it.
+	// still or became slow there. A success does not clear it.
 	sluggishUntilMS int64
 }
 
