Read a feed again in time after any silence of the platform

A read that was sent just before the platform fell silent was waited for until 700 ms after its own wait, and the longest probe 1.6 s, so a feed was read again up to 1.65 s after the silence had ended; the target is 1.5 s. Change: a read whose answer is 400 ms late is followed by a second one, and the first answer counts. Reads are idempotent. Shorter time limits were ruled out: a platform that is only slow would then never answer.

--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -54,6 +54,9 @@
 const (
 	// roundTripAllowance is added to Pace.Wait for the round trip to the platform.
 	roundTripAllowance = 700 * time.Millisecond
+	// hedgeDelay is how late an answer may be before a second call is sent. It is well above
+	// the usual response time, so that a second call is rare while the platform is healthy.
+	hedgeDelay = 400 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
 )
@@ -161,16 +164,44 @@
 	return ctx.Err()
 }
 
-// read reads once from an offset, with a timeout that is shorter while probing.
-func (r *Reader[T]) read(ctx context.Context, next uint64, pace Pace) (Page[T], error) {
-	limit := pace.Wait + roundTripAllowance
+// read reads once from an offset, with a timeout that is shorter while probing. A call that
+// was sent during an outage may hang after the outage has ended, so a second call is sent
+// before the first one times out. The first answer counts.
+func (r *Reader[T]) read(ctx context.Context, next uint64, pace Pace) (page Page[T], err error) {
+	wait := r.readWait(pace)
+	limit := wait + roundTripAllowance
 	if r.probing {
 		limit = min(max(2*r.probeTimeout, minProbeTimeout), maxProbeTimeout)
 		r.probeTimeout = limit
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return r.Feed.Read(ctx, next, r.readWait(pace))
+	type result struct {
+		page Page[T]
+		err  error
+	}
+	results := make(chan result, 2)
+	send := func(wait time.Duration) {
+		page, err := r.Feed.Read(ctx, next, wait)
+		results <- result{page, err}
+	}
+	go send(wait)
+	hedge := time.NewTimer(wait + hedgeDelay)
+	defer hedge.Stop()
+	for inFlight := 1; inFlight > 0; {
+		select {
+		case <-hedge.C:
+			inFlight++
+			go send(0)
+		case res := <-results:
+			inFlight--
+			page, err = res.page, res.err
+			if err == nil || errors.Is(err, ErrExpired) {
+				return page, err
+			}
+		}
+	}
+	return page, err
 }
 
 // readWait returns how long a read may wait for a record. While probing it is zero, so that
