--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -53,6 +53,8 @@
 	switch c := c.(type) {
 	case scheduler.ClaimCmd:
 		inst.loop.Send(inst.writer.Claim(d.ctx, c))
+	case scheduler.ProbeCmd:
+		inst.loop.Send(d.probe(c))
 	case scheduler.AppendCmd:
 		inst.loop.Send(inst.writer.AppendInTerm(d.ctx, c))
 	case scheduler.AdviseCmd:
@@ -75,19 +77,19 @@
 		defer cancel()
 		report, result, err := inst.deps.WorkerClient.Hold(ctx, c)
 		inst.meter.countOrder("Hold", result)
-		inst.loop.Send(scheduler.HeldMsg{Worker: c.Worker, Sequence: c.Sequence, Result: result, Report: report, Err: errorText(err)})
+		inst.loop.Send(scheduler.HeldMsg{OrderID: c.OrderID, Worker: c.Worker, Sequence: c.Sequence, Result: result, Report: report, Err: errorText(err)})
 	case scheduler.StartCmd:
 		ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 		defer cancel()
 		result, err := inst.deps.WorkerClient.Start(ctx, c)
 		inst.meter.countOrder("Start", result)
-		inst.loop.Send(scheduler.StartedMsg{Worker: c.Worker, Task: c.Task, Result: result, Err: errorText(err)})
+		inst.loop.Send(scheduler.StartedMsg{OrderID: c.OrderID, Worker: c.Worker, Task: c.Task, Result: result, Err: errorText(err)})
 	case scheduler.StopCmd:
 		ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 		defer cancel()
 		result, err := inst.deps.WorkerClient.Stop(ctx, c)
 		inst.meter.countOrder("Stop", result)
-		inst.loop.Send(scheduler.StoppedMsg{Worker: c.Worker, Task: c.Task, Result: result, Err: errorText(err)})
+		inst.loop.Send(scheduler.StoppedMsg{OrderID: c.OrderID, Worker: c.Worker, Task: c.Task, Result: result, Err: errorText(err)})
 	}
 }
 
@@ -104,6 +106,15 @@
 	return msg
 }
 
+// probe measures how long it takes to write this instance's record again.
+func (d dispatcher) probe(c scheduler.ProbeCmd) scheduler.ProbedMsg {
+	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
+	defer cancel()
+	began := time.Now()
+	err := d.instance.writer.Append(ctx, d.instance.record())
+	return scheduler.ProbedMsg{Term: c.Term, TookMS: time.Since(began).Milliseconds(), Err: errorText(err)}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -194,10 +205,15 @@
 	watchInterval = 500 * time.Millisecond
 )
 
+// record returns the record by which the other instances know this one.
+func (inst *Instance) record() reducer.Record {
+	return reducer.InstanceRecord(reducer.Instance{Name: inst.settings.Instance, Holder: inst.holder, Address: inst.settings.Peer, Power: inst.settings.Power})
+}
+
 // registerInstance records this instance's address in the ledger, where the other instances
 // find it. It retries until the record is written.
 func (inst *Instance) registerInstance(ctx context.Context) {
-	record := reducer.InstanceRecord(reducer.Instance{Name: inst.settings.Instance, Holder: inst.holder, Address: inst.settings.Peer, Power: inst.settings.Power})
+	record := inst.record()
 	for ctx.Err() == nil {
 		err := inst.writer.Append(ctx, record)
 		if err == nil {
--- a/internal/workload/follower/ledger.go
+++ b/internal/workload/follower/ledger.go
@@ -16,9 +16,6 @@
 var (
 	// ErrNotWritten means that nothing was written and nothing will be.
 	ErrNotWritten = errors.New("not written")
-	// ErrOffsetConflict means that nothing was written because another record took the
-	// expected offset.
-	ErrOffsetConflict = errors.Wrap(ErrNotWritten, "the ledger has grown")
 	// ErrFenced means that the append was rejected because a higher term has been recorded.
 	ErrFenced = errors.New("a higher term has been recorded")
 )
@@ -33,9 +30,10 @@
 	// term. Term is the fencing token: the call fails with ErrFenced after a higher term was
 	// recorded.
 	AppendInTerm(ctx context.Context, term, sequence uint64, records []reducer.Record) error
-	// ClaimTerm writes the record of a new term only if it gets the offset at, and fails with
-	// ErrOffsetConflict otherwise.
-	ClaimTerm(ctx context.Context, at, term uint64, record reducer.Record) error
+	// ClaimTerm writes the record of a new term. If another record of the term has been
+	// written before, it writes nothing and may succeed all the same; it fails with ErrFenced
+	// after a higher term was recorded.
+	ClaimTerm(ctx context.Context, term uint64, record reducer.Record) error
 }
 
 // Limits of the timeout of an append. An append without an answer is retried. The timeout should
@@ -208,10 +206,10 @@
 // Claim executes a ClaimCmd.
 func (w *Writer) Claim(ctx context.Context, c scheduler.ClaimCmd) scheduler.ClaimedMsg {
 	err := w.timeout.run(ctx, func(ctx context.Context) error {
-		return w.ledger.ClaimTerm(ctx, c.At, c.Term.Number, reducer.TermRecord(c.Term))
+		return w.ledger.ClaimTerm(ctx, c.Term.Number, reducer.TermRecord(c.Term))
 	})
 	if err != nil {
-		return scheduler.ClaimedMsg{Err: err.Error(), Conflict: errors.Is(err, ErrOffsetConflict)}
+		return scheduler.ClaimedMsg{Err: err.Error()}
 	}
 	return scheduler.ClaimedMsg{}
 }
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -22,6 +22,9 @@
 // ErrUnreadable marks a record that this version can't decode.
 var ErrUnreadable = errors.New("unreadable record")
 
+// ErrSuperseded marks a term record that came too late to count.
+var ErrSuperseded = errors.New("superseded record")
+
 // Record is one record of the ledger. A record without a value is a tombstone,
 // which deletes its key.
 type Record struct {
--- a/internal/workload/reducer/table.go
+++ b/internal/workload/reducer/table.go
@@ -93,6 +93,10 @@
 	if err := decode(r, &next); err != nil {
 		return err
 	}
+	// The first record of a term names its holder.
+	if next.Number < t.Term.Number || next.Number == t.Term.Number && next.Holder != t.Term.Holder && t.Term.Holder != "" {
+		return errors.Wrapf(ErrSuperseded, "term %d of %s after term %d of %s", next.Number, next.Holder, t.Term.Number, t.Term.Holder)
+	}
 	t.Term = next
 	return nil
 }
--- a/internal/workload/scheduler/bench_test.go
+++ b/internal/workload/scheduler/bench_test.go
@@ -37,7 +37,7 @@
 // BenchmarkPass measures a step of the control loop with a scheduling pass, in a full
 // fleet with waiting jobs.
 func BenchmarkPass(b *testing.B) {
-	for _, size := range []struct{ workers, jobs int }{{100, 120}, {200, 240}, {360, 440}, {760, 900}} {
+	for _, size := range []struct{ workers, jobs int }{{100, 120}, {200, 240}, {360, 440}, {760, 900}, {1100, 1300}} {
 		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
 			m, at := largeFleet(b, size.workers, size.jobs)
 			durations := make([]time.Duration, 0, b.N)
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -6,11 +6,12 @@
 // this package.
 type Command any
 
-// ClaimCmd claims a term. The claim must be written at ledger offset At or not at all.
-type ClaimCmd struct {
-	At   uint64
-	Term reducer.Term
-}
+// ClaimCmd claims a term for a process. Of all claims of the same term, the ledger must
+// store only the first, and none once it has stored a record of a later term.
+type ClaimCmd struct{ Term reducer.Term }
+
+// ProbeCmd measures how long an append takes. The record that it writes tells nothing new.
+type ProbeCmd struct{ Term uint64 }
 
 // AppendCmd appends decisions of a term to the ledger. The ledger must reject the
 // append once a higher term has been recorded, and must store each Sequence only once.
@@ -48,11 +49,16 @@
 // ReadCmd requests an immediate read of the ledger.
 type ReadCmd struct{}
 
+// PassedCmd reports that a scheduling pass ran. The loop answers it with a PassTookMsg.
+type PassedCmd struct{}
+
 // PollWorkersCmd turns the polling of the list of workers on or off.
 type PollWorkersCmd struct{ On bool }
 
 // HoldCmd extends a worker's lease, confirms ends of its tasks and fetches its report.
 type HoldCmd struct {
+	// OrderID is returned with the answer. It is 0 for a hold that waits at the worker.
+	OrderID  uint64
 	Worker   string
 	Address  string
 	Sequence uint64
@@ -68,6 +74,8 @@
 
 // StartCmd starts a task.
 type StartCmd struct {
+	// OrderID is returned with the answer.
+	OrderID uint64
 	Worker  string
 	Address string
 	Task    TaskRef
@@ -84,6 +92,8 @@
 
 // StopCmd stops a task.
 type StopCmd struct {
+	// OrderID is returned with the answer.
+	OrderID uint64
 	Worker  string
 	Address string
 	Task    TaskRef
--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -82,7 +82,7 @@
 	answered := false
 	send := func(msg scheduler.HeldMsg) {
 		if i.incarnation == incarnation {
-			msg.Worker, msg.Sequence = f.id, c.Sequence
+			msg.OrderID, msg.Worker, msg.Sequence = c.OrderID, f.id, c.Sequence
 			i.send(msg)
 		}
 	}
--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -449,12 +449,12 @@
 		sim.addWorkers(2, 3)
 		sim.traceJob(*tracedJob)
 		sim.startAll()
-		sim.run(3000)
+		sim.run(3500)
 		sim.lateOrderRate = 1
 		sim.submit("render", "a", jobA, independentTasks(1, 8, 20000))
-		sim.run(5100)
+		sim.run(5600)
 		sim.lateOrderRate = 0
-		sim.run(6700)
+		sim.run(7200)
 		crashed := 0
 		for _, f := range sim.workers {
 			if len(f.highestEndedRun) > 0 {
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -23,9 +23,9 @@
 		if m.now.MonoMS >= r.lateStartUntilMS || w.runs.get(r.ref) != nil {
 			continue
 		}
-		r.unit, r.orderInFlight, r.lastAnswerMS, r.state = nil, false, 0, runStopping
+		r.unit, r.orderInFlight, r.orderQueued, r.lastAnswerMS, r.state = nil, false, false, 0, runStopping
 		w.runs.add(r)
 		m.event("RunBarred", "Job", r.ref.Unit.Job, "Unit", r.ref.Unit.String(), "Run", r.ref.Run, "Worker", w.ID)
-		m.sendStop(r)
+		m.queueStop(r)
 	}
 }
--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -337,3 +337,42 @@
 	sim.expectStartedWithin(t, jobA, startTargetMS)
 	sim.expectNoViolations(t)
 }
+
+// TestWaveOfStarts submits 400 jobs at once on a path to the workers whose latency grows
+// with the orders in flight. Sent together, most starts would get no answer and be
+// repeated, which makes the path slower still.
+func TestWaveOfStarts(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.orderCongestionMS = 5
+	sim.addWorkers(10, 12)
+	sim.startAll()
+	sim.run(4000)
+	for i := range 400 {
+		sim.submit("render", "a", fmt.Sprintf("job%d", i), independentTasks(1, 2, 5000))
+	}
+	sim.run(7000)
+	for i := range 400 {
+		sim.expectStartedWithin(t, fmt.Sprintf("job%d", i), 3000)
+	}
+	if sim.unansweredOrders*20 > sim.checker.starts {
+		t.Errorf("%d orders got no answer for %d starts, want at most one in 20", sim.unansweredOrders, sim.checker.starts)
+	}
+	sim.expectNoViolations(t)
+}
+
+// TestSlowPassesLeaveTimeForOrders gives the holder a backlog that it can't place and
+// passes that take 50 ms. Passes must take up no more than a quarter of its time.
+func TestSlowPassesLeaveTimeForOrders(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.passMS = 50
+	sim.addWorkers(2, 4)
+	sim.startAll()
+	sim.submitBacklog(40)
+	sim.run(3000)
+	sim.passes = 0
+	sim.run(13_000)
+	if sim.passes == 0 || int64(sim.passes)*sim.passMS*4 > 10_000 {
+		t.Errorf("%d passes of %d ms in 10 s, want at least one and at most a quarter of the time", sim.passes, sim.passMS)
+	}
+	sim.expectNoViolations(t)
+}
--- a/internal/workload/scheduler/loop.go
+++ b/internal/workload/scheduler/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	inbox      chan Msg
 	start      time.Time
 	done       chan struct{}
+	// slowReported is when a slow step was last logged.
+	slowReported time.Time
 }
 
 const (
@@ -27,6 +30,10 @@
 	inboxSize = 4096
 	// tickInterval is the resolution of the model's timeouts.
 	tickInterval = 50 * time.Millisecond
+	// slowStep is the duration from which on a step is logged: it delays the answers to
+	// orders noticeably. At most one step is logged in each slowStepInterval.
+	slowStep         = 50 * time.Millisecond
+	slowStepInterval = time.Second
 )
 
 // NewLoop returns a loop that is not running yet. Monotonic times count from start.
@@ -55,12 +62,30 @@
 func (l *Loop) step(msg Msg) {
 	now := time.Now()
 	at := Instant{MonoMS: now.Sub(l.start).Milliseconds(), WallMS: now.UnixMilli()}
-	for _, c := range l.model.Update(at, msg) {
-		l.dispatcher.Dispatch(c)
+	passed := l.dispatch(l.model.Update(at, msg))
+	took := time.Since(now)
+	if passed {
+		l.dispatch(l.model.Update(at, PassTookMsg{TookMS: took.Milliseconds()}))
 	}
 	if l.Measure != nil {
-		l.Measure(time.Since(now))
+		l.Measure(took)
+	}
+	if took >= slowStep && now.Sub(l.slowReported) >= slowStepInterval {
+		l.slowReported = now
+		l.dispatcher.Dispatch(EventCmd{Name: "ControlStepSlow", Fields: []any{"Message", fmt.Sprintf("%T", msg), "TookMS", took.Milliseconds(), "Waiting", len(l.inbox)}})
+	}
+}
+
+// dispatch executes the commands of one step and reports whether the step ran a pass.
+func (l *Loop) dispatch(cmds []Command) (passed bool) {
+	for _, c := range cmds {
+		if _, ok := c.(PassedCmd); ok {
+			passed = true
+			continue
+		}
+		l.dispatcher.Dispatch(c)
 	}
+	return passed
 }
 
 // NowMS returns the current monotonic time in the model's units.
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -18,6 +18,9 @@
 // TickMsg triggers the work that depends on time.
 type TickMsg struct{}
 
+// PassTookMsg tells how long the step with the latest scheduling pass took.
+type PassTookMsg struct{ TookMS int64 }
+
 // LedgerReadMsg delivers ledger records that start at offset From. CaughtUp is set if the
 // ledger had no further records: the records are then complete as of AsOfMS, a monotonic
 // time.
@@ -44,11 +47,15 @@
 // ListedMsg delivers the platform's list of workers.
 type ListedMsg struct{ Workers []describer.Worker }
 
-// ClaimedMsg delivers the result of a ClaimCmd. Conflict is set if nothing was written
-// because another record already has the offset.
-type ClaimedMsg struct {
-	Err      string
-	Conflict bool
+// ClaimedMsg delivers the result of a ClaimCmd. Without an error, some claim of the term
+// has been stored; only the ledger's records tell whose.
+type ClaimedMsg struct{ Err string }
+
+// ProbedMsg delivers the result of a ProbeCmd for the same term.
+type ProbedMsg struct {
+	Term   uint64
+	TookMS int64
+	Err    string
 }
 
 // AppendResult is the result of an append.
@@ -162,6 +169,7 @@
 
 // HeldMsg delivers a worker's answer to a HoldCmd.
 type HeldMsg struct {
+	OrderID  uint64
 	Worker   string
 	Sequence uint64
 	Result   OrderResult
@@ -171,18 +179,20 @@
 
 // StartedMsg delivers a worker's answer to a StartCmd.
 type StartedMsg struct {
-	Worker string
-	Task   TaskRef
-	Result OrderResult
-	Err    string
+	OrderID uint64
+	Worker  string
+	Task    TaskRef
+	Result  OrderResult
+	Err     string
 }
 
 // StoppedMsg delivers a worker's answer to a StopCmd.
 type StoppedMsg struct {
-	Worker string
-	Task   TaskRef
-	Result OrderResult
-	Err    string
+	OrderID uint64
+	Worker  string
+	Task    TaskRef
+	Result  OrderResult
+	Err     string
 }
 
 // StoreMsg asks the holder to record a caller's request. The answer is a StoredCmd with
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -13,10 +13,10 @@
 // therefore tell a successor everything that may be running.
 //
 // A term is a numbered period in which one process, the holder, makes the decisions. A
-// process claims the next term by writing a term record exactly where its own copy of
-// the ledger ends; the claim fails if another record already has that offset. The holder
-// renews its term regularly, and other instances claim the next one when the renewals
-// stop.
+// process claims the next term by writing a term record, of which the ledger stores only
+// the first for each term. A process that reads its own record there has therefore read
+// everything that earlier holders wrote. The holder renews its term regularly, and other
+// instances claim the next one when the renewals stop, the most powerful one first.
 //
 // A hold is the holder's regular request to a worker. It extends the lease on the
 // worker's tasks, confirms the ends that are durable, and is answered by a report of the
@@ -30,6 +30,7 @@
 import (
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/reducer"
+	"daisyhead/internal/workload/throttler"
 )
 
 // Config holds the identity of this process and the platform's time limits, which are
@@ -65,16 +66,33 @@
 	// claimStaggerMS is the difference between the claim delays of two instances with
 	// successive ranks, which keeps them from claiming simultaneously: two ticks.
 	claimStaggerMS = 100
-	// claimRetryMS is the pause after a failed claim. claimConflictRetryMS is the pause
-	// after a claim that lost its ledger offset to another record: enough for a ledger
-	// read and for the claims of instances with other ranks.
-	claimRetryMS         = 300
-	claimConflictRetryMS = 50
+	// lowRankStaggerMS is that difference for ranks from lowRank on. In a large fleet,
+	// the last ranks would otherwise wait for too long.
+	lowRankStaggerMS = 20
+	// firstClaimDelayMS is the delay of the first claim of all. All instances start
+	// within 300 ms, and should know each other before the most powerful one claims.
+	firstClaimDelayMS = 500
+	// claimRetryMS is the pause after a claim.
+	claimRetryMS = 300
 	// yieldAfterMS is the time without a successful append after which the holder asks
-	// another instance to take over: a few append retries.
-	yieldAfterMS = 500
+	// another instance to take over: a few append retries. It doubles with each recent
+	// change of the holder, at most maxYieldShift times.
+	yieldAfterMS  = 500
+	maxYieldShift = 3
 	// yieldIntervalMS is the pause before the holder asks the next instance.
 	yieldIntervalMS = 250
+	// maxProbeMS is the longest time that an append may take at an instance that takes
+	// over because the holder's appends take too long: half of yieldAfterMS.
+	maxProbeMS = yieldAfterMS / 2
+	// recentTermMS is how long a change of the holder counts as recent. It covers the
+	// time that a new holder needs to reach the workers and to catch up.
+	recentTermMS = 20000
+	// quietTerms is the number of recent terms that don't prolong the silence after
+	// which the term is claimed; each further one adds termPenaltyMS, at most
+	// maxTermPenaltyMS in all.
+	quietTerms       = 3
+	termPenaltyMS    = 500
+	maxTermPenaltyMS = 2000
 	// maxConfirmationAgeMS is how long a holder keeps extending leases after the ledger
 	// last confirmed its term. A successor adds this time to the lease of a worker that
 	// it can't reach.
@@ -106,6 +124,10 @@
 	// minPassIntervalMS is the least interval between two scheduling passes, so that
 	// one pass covers several changes that arrive together.
 	minPassIntervalMS = 20
+	// passPauseFactor times the duration of a pass is the least interval to the next
+	// one, up to maxPassPauseMS. The rest of the time is left for orders and answers.
+	passPauseFactor = 4
+	maxPassPauseMS  = 400
 	// passIntervalMS is the interval between scheduling passes when nothing has
 	// changed.
 	passIntervalMS = 100
@@ -130,11 +152,18 @@
 	term termState
 	// termFirstSeenMS is when this process first saw each term.
 	termFirstSeenMS map[uint64]int64
+	// lostTermMS is when this process last saw each instance lose the term.
+	lostTermMS map[string]int64
 	// unreachedReadMS is, for each worker, when this process read the latest record
 	// saying that a holder has not reached the worker.
 	unreachedReadMS map[string]int64
 	proposer        proposer
-	workers         map[string]*worker
+	// orders queues the orders to workers. It outlives a term, because orders of an
+	// earlier one may still be in flight.
+	orders throttler.Throttler[queuedOrder]
+	// passPacedMS is when a pass was last ended early because of queued starts.
+	passPacedMS int64
+	workers     map[string]*worker
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
@@ -151,6 +180,8 @@
 	// passNeeded is set when a change calls for a scheduling pass.
 	passNeeded bool
 	lastPassMS int64
+	// passPauseMS is the least interval between two passes, by what the last one took.
+	passPauseMS int64
 	// endedJobs lists the jobs that callers can still query, the first to be removed
 	// first.
 	endedJobs []endedJob
@@ -169,7 +200,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: reducer.New(), Config: &describer.Configuration{}, cfg: cfg,
-		tableAsOfMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{}, witnessedOutcomes: map[string]witnessedOutcome{},
+		tableAsOfMS: -1 << 40, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{}, witnessedOutcomes: map[string]witnessedOutcome{},
 	}
 }
 
@@ -181,6 +212,7 @@
 	if m.deciding() {
 		m.pass()
 	}
+	m.sendOrders()
 	m.flush()
 	return m.cmds
 }
@@ -215,9 +247,14 @@
 		m.handleListed(msg)
 	case ClaimedMsg:
 		m.handleClaimed(msg)
+	case PassTookMsg:
+		m.passPauseMS = min(passPauseFactor*msg.TookMS, maxPassPauseMS)
+	case ProbedMsg:
+		m.handleProbed(msg)
 	case AppendedMsg:
 		m.handleAppended(msg)
 	case HeldMsg, StartedMsg, StoppedMsg, AdvisedMsg:
+		m.countAnswer(msg)
 		m.handleAnswer(msg)
 	case StoreMsg:
 		m.store(msg)
@@ -226,8 +263,7 @@
 	case WitnessedMsg:
 		m.handleWitnessed(msg)
 	case YieldMsg:
-		m.term.yieldRequestedTerm = max(m.term.yieldRequestedTerm, msg.Term)
-		m.claimTermIfDue()
+		m.probeIfAsked(msg)
 	case ShutdownMsg:
 		m.releaseTerm()
 	case InspectMsg:
@@ -257,6 +293,7 @@
 // tick does the work that has become due. Most of it is left to the holder.
 func (m *Model) tick() {
 	m.claimTermIfDue()
+	m.retryHandover()
 	m.writeWitnessedOutcomes()
 	if !m.deciding() {
 		return
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -29,6 +29,14 @@
 	idleAccelerators, openAccelerators map[string]int
 	// unplaceable holds the request shapes that found no place in this pass.
 	unplaceable map[requestShape]bool
+	// version counts the changes of free capacity in this pass. preemptions holds, for
+	// each shape, what findPreemption found at a version.
+	version     int
+	preemptions map[requestShape]preemption
+	// reclaimable caches, for each worker, its runs that may be preempted.
+	reclaimable map[int][]*run
+	// startBudget is how many tasks this pass may still place.
+	startBudget int
 }
 
 // requestShape holds the properties of a request that decide whether it can be placed.
@@ -45,12 +53,37 @@
 func (s requestShape) appliesToAllUnits(u *unit, advised bool) bool {
 	spec := u.step.spec
 	specific := s.request.MaxPerWorker > 0 || len(u.failedOn) > 0 || servesUsers(spec) || spec.FillsIdle
-	return !specific && !s.urgent && !advised
+	return !specific && !advised
+}
+
+// canHold reports whether a request of the shape may find a place although the smaller
+// ones that are known to be unplaceable did not.
+func (p *plan) canHold(s requestShape) bool {
+	if p.unplaceable[s] {
+		return false
+	}
+	for smaller := range p.unplaceable {
+		if s.atLeast(smaller) {
+			return false
+		}
+	}
+	return true
+}
+
+// atLeast reports whether a request of the shape finds no place where one of shape o
+// finds none. A gang that is bound to one rack may be spread if it is too large for any
+// rack, so its size says nothing.
+func (s requestShape) atLeast(o requestShape) bool {
+	a, b := s.request, o.request
+	larger := a.Count >= b.Count && a.Need.CPU >= b.Need.CPU && a.Need.MemoryMB >= b.Need.MemoryMB && a.Need.Accelerators >= b.Need.Accelerators
+	a.Count, a.Need = b.Count, b.Need
+	s.request = a
+	return larger && s == o && !a.SameRack
 }
 
 // pass places waiting units in order of rank while there is capacity.
 func (m *Model) pass() {
-	if !m.passNeeded || !m.tableFresh() || m.now.MonoMS-m.lastPassMS < minPassIntervalMS {
+	if !m.passNeeded || !m.tableFresh() || m.now.MonoMS-m.lastPassMS < max(minPassIntervalMS, m.passPauseMS) {
 		return
 	}
 	m.passNeeded, m.lastPassMS = false, m.now.MonoMS
@@ -58,8 +91,13 @@
 	if len(found) == 0 {
 		return
 	}
+	m.emit(PassedCmd{})
 	p := m.newPlan()
 	for _, c := range found {
+		if p.startBudget <= 0 {
+			m.pacePass()
+			return
+		}
 		if c.queue.Priority > 0 && p.generalNodes == nil {
 			p.reserveHeadroom()
 		}
@@ -105,12 +143,15 @@
 
 // newPlan returns a plan in which running tasks and reservations use capacity.
 func (m *Model) newPlan() *plan {
-	p := &plan{urgentUse: map[string]int{}, unplaceable: map[requestShape]bool{}, index: map[*worker]int{}, idleAccelerators: map[string]int{}, openAccelerators: map[string]int{}}
+	p := &plan{startBudget: m.startBudget(), urgentUse: map[string]int{}, unplaceable: map[requestShape]bool{}, preemptions: map[requestShape]preemption{}, reclaimable: map[int][]*run{}, index: map[*worker]int{}, idleAccelerators: map[string]int{}, openAccelerators: map[string]int{}}
 	p.workers = m.fleet
 	for i, w := range p.workers {
 		p.index[w] = i
 		p.nodes = append(p.nodes, m.node(w))
 		for _, r := range w.runs.list {
+			if r.state == runPlanned {
+				p.startBudget--
+			}
 			if r.unit != nil && m.queue(r.unit.step.job).Priority == 0 {
 				p.urgentUse[r.unit.step.job.submission.Job.Workspace] += r.need.Accelerators
 			}
@@ -146,7 +187,7 @@
 func (m *Model) placeStep(p *plan, c candidate) {
 	r := requestFor(c.step)
 	shape := requestShape{service: c.queue.Service, urgent: c.queue.Priority == 0, perpetual: c.step.spec.Perpetual, request: r}
-	if p.unplaceable[shape] {
+	if !p.canHold(shape) {
 		m.setWaitReason(c.step.job, "no room")
 		return
 	}
@@ -155,6 +196,9 @@
 		if u.state != unitWaiting {
 			continue
 		}
+		if p.startBudget <= 0 {
+			return
+		}
 		if u.reservation != nil {
 			p.release(u.reservation)
 		}
@@ -170,12 +214,19 @@
 			// A wide gang may only fit into racks that are kept free as headroom.
 			places, ok = packer.Place(p.withHeadroom(open, c), r)
 		}
-		if !ok && shape.urgent && m.preemptAndReserve(p, open, c, u, r) {
-			m.setWaitReason(c.step.job, "reserved room is not free yet")
-			continue
+		reclaimable := false
+		if !ok && shape.urgent {
+			var reserved bool
+			reserved, reclaimable = m.preemptAndReserve(p, open, c, u, shape)
+			if reserved {
+				m.setWaitReason(c.step.job, "reserved room is not free yet")
+				continue
+			}
 		}
 		if !ok {
-			p.unplaceable[shape] = p.unplaceable[shape] || shape.appliesToAllUnits(u, c.queue.Advised)
+			if !reclaimable && shape.appliesToAllUnits(u, c.queue.Advised) {
+				p.unplaceable[shape] = true
+			}
 			m.setWaitReason(c.step.job, "no room")
 			return
 		}
@@ -188,6 +239,7 @@
 			p.urgentUse[c.step.job.submission.Job.Workspace] += r.Count * r.Need.Accelerators
 		}
 		u.reservation = nil
+		p.startBudget -= len(workers)
 		m.placeUnit(u, workers)
 	}
 }
@@ -248,6 +300,7 @@
 
 // setFree sets a worker's free capacity in the views that all steps share.
 func (p *plan) setFree(i int, free describer.Resources) {
+	p.version++
 	p.nodes[i].Free = free
 	if p.generalNodes != nil {
 		p.generalNodes[i].Free = free
--- a/internal/workload/scheduler/preempt.go
+++ b/internal/workload/scheduler/preempt.go
@@ -63,7 +63,7 @@
 				free = free.Add(r.need)
 			}
 		}
-		for _, r := range m.preemptible(p.workers[i]) {
+		for _, r := range m.reclaimableOn(p, i) {
 			if fitsCount(free, req, need[i]) {
 				break
 			}
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -109,7 +109,7 @@
 	}
 	w.runs.add(r)
 	m.event("StrayRun", "Job", p.Task.Unit.Job, "Unit", p.Task.Unit.String(), "Run", p.Task.Run, "Worker", w.ID)
-	m.sendStop(r)
+	m.queueStop(r)
 }
 
 // handleEnd handles a reported end. Ends that were handled before are ignored.
@@ -161,7 +161,11 @@
 // markEndsOnceDurable marks the ends as durable once everything that is proposed so far
 // is durable.
 func (m *Model) markEndsOnceDurable(ends []endRef) {
-	ack := func(m *Model) { m.markEndsDurable(ends) }
+	m.onceDurable(func(m *Model) { m.markEndsDurable(ends) })
+}
+
+// onceDurable calls ack once everything that is proposed so far is durable.
+func (m *Model) onceDurable(ack func(*Model)) {
 	p := &m.proposer
 	switch {
 	case len(p.queued) > 0:
--- a/internal/workload/scheduler/reservation.go
+++ b/internal/workload/scheduler/reservation.go
@@ -71,15 +71,17 @@
 }
 
 // preemptAndReserve chooses workers for an urgent unit that does not fit, preempts tasks
-// there, and reserves the capacity for the unit. It returns false if that is impossible.
-func (m *Model) preemptAndReserve(p *plan, nodes []packer.Node, c candidate, u *unit, req packer.Request) bool {
+// there, and reserves the capacity for the unit. possible is set if there are such
+// workers, even if too much work would be lost on them.
+func (m *Model) preemptAndReserve(p *plan, nodes []packer.Node, c candidate, u *unit, shape requestShape) (reserved, possible bool) {
+	req := shape.request
 	if u.reservation != nil {
 		p.reserve(u.reservation)
-		return true
+		return true, true
 	}
-	found, ok := m.findPreemption(p, nodes, c, req)
+	found, ok := m.findPreemption(p, nodes, c, u, shape)
 	if !ok {
-		return false
+		return false, found.places != nil
 	}
 	res := &reservation{unit: u, request: req, createdMS: m.now.MonoMS}
 	for _, i := range found.places {
@@ -92,8 +94,9 @@
 		m.event("UnitPreempted", "Job", r.ref.Unit.Job, "Unit", r.ref.Unit.String(), "For", u.id.Job, "Worker", r.worker.ID, "LostCoreMS", int64(m.loss(r)), "Claimed", found.withinGuarantee)
 		m.stopUnit(r.unit, "preempted for job "+u.id.Job)
 	}
+	clear(p.reclaimable)
 	p.reserve(res)
-	return true
+	return true, true
 }
 
 // preemption is a placement of an urgent unit that becomes possible once the victims
@@ -103,31 +106,55 @@
 	places []int
 	// victims holds one run of each unit that has to stop.
 	victims []*run
+	// lost is the work that is lost by that, in core-milliseconds.
+	lost float64
+	// version is the version of the plan at which the placement was found.
+	version int
 	// withinGuarantee is set if the placement stays within the workspace's guarantee.
 	withinGuarantee bool
 }
 
 // findPreemption chooses the workers on which the least work is lost. Within the
 // workspace's guarantee any loss is accepted, beyond it only a small one.
-func (m *Model) findPreemption(p *plan, nodes []packer.Node, c candidate, req packer.Request) (found preemption, ok bool) {
-	freed := slices.Clone(nodes)
-	for i := range p.workers {
-		m.addReclaimable(p, freed, i, req)
+func (m *Model) findPreemption(p *plan, nodes []packer.Node, c candidate, u *unit, shape requestShape) (found preemption, ok bool) {
+	req := shape.request
+	cacheable := shape.appliesToAllUnits(u, c.queue.Advised)
+	found, ok = p.preemptions[shape]
+	if !ok || found.version != p.version || !cacheable {
+		found = m.cheapestPreemption(p, nodes, req)
 	}
-	if found.places, ok = packer.Place(freed, req); !ok {
+	if cacheable {
+		p.preemptions[shape] = found
+	}
+	if found.places == nil {
 		return found, false
 	}
 	workspace := c.step.job.submission.Job.Workspace
 	found.withinGuarantee = p.urgentUse[workspace]+req.Count*req.Need.Accelerators <= m.Config.Guaranteed(workspace)
-	victims, lost := m.victims(p, nodes, found.places, req)
-	if !found.withinGuarantee && lost > m.maxLoss(c.step) {
+	if !found.withinGuarantee && found.lost > m.maxLoss(c.step) {
 		return found, false
 	}
 	p.urgentUse[workspace] += req.Count * req.Need.Accelerators
-	found.victims = victims
 	return found, true
 }
 
+// cheapestPreemption chooses the workers and the victims for a request. Places is nil if
+// there are none.
+func (m *Model) cheapestPreemption(p *plan, nodes []packer.Node, req packer.Request) preemption {
+	found := preemption{version: p.version}
+	freed := slices.Clone(nodes)
+	for i := range p.workers {
+		m.addReclaimable(p, freed, i, req)
+	}
+	var ok bool
+	if found.places, ok = packer.Place(freed, req); !ok {
+		found.places = nil
+		return found
+	}
+	found.victims, found.lost = m.victims(p, nodes, found.places, req)
+	return found
+}
+
 // addReclaimable adds to a node's free capacity that of runs which end soon or can be
 // stopped. The node's cost grows by the work that is lost for one task of the request.
 func (m *Model) addReclaimable(p *plan, freed []packer.Node, i int, req packer.Request) {
@@ -138,7 +165,7 @@
 		}
 	}
 	free := n.Free
-	for _, r := range m.preemptible(p.workers[i]) {
+	for _, r := range m.reclaimableOn(p, i) {
 		if m.endsSoon(r) {
 			continue
 		}
@@ -150,6 +177,16 @@
 	}
 }
 
+// reclaimableOn returns what preemptible returns for a worker.
+func (m *Model) reclaimableOn(p *plan, i int) []*run {
+	runs, ok := p.reclaimable[i]
+	if !ok {
+		runs = m.preemptible(p.workers[i])
+		p.reclaimable[i] = runs
+	}
+	return runs
+}
+
 func workerIDs(workers []*worker) []string {
 	ids := make([]string, len(workers))
 	for i, w := range workers {
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -3,6 +3,7 @@
 import (
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/forecaster"
+	"daisyhead/internal/workload/throttler"
 )
 
 // runState is what the holder knows about a task on its worker.
@@ -36,8 +37,11 @@
 	// executed until lateStartUntilMS, even if a repetition of it was answered.
 	startUnanswered  bool
 	lateStartUntilMS int64
-	// orderInFlight is set while an order awaits its answer.
+	// orderInFlight is set while an order awaits its answer. orderQueued is set while one
+	// waits to be sent, and queuedKind is then its kind.
 	orderInFlight bool
+	orderQueued   bool
+	queuedKind    throttler.Kind
 	// orderSentMS is when the last order was sent.
 	orderSentMS int64
 	// lastAnswerMS is when the worker last gave a definite answer to an order for the
@@ -80,29 +84,33 @@
 	return r
 }
 
-// sendStart orders a start and grants a lease with it. It does nothing while an order is
-// in flight, the worker has not answered or may get no lease, or the table is too old to
+// mayStart reports whether a start may be sent now. It may not while an order is in
+// flight, the worker has not answered or may get no lease, or the table is too old to
 // show a recent cancellation; retryOrders tries again.
-func (m *Model) sendStart(r *run) {
+func (m *Model) mayStart(r *run) bool {
+	return !r.orderInFlight && r.worker.answered && !r.worker.unreachedRecorded && m.tableFresh()
+}
+
+// sendStart orders a start and grants a lease with it.
+func (m *Model) sendStart(r *run, orderID uint64) {
 	w, u := r.worker, r.unit
-	if r.orderInFlight || !w.answered || w.unreachedRecorded || !m.tableFresh() {
-		return
-	}
 	r.state, r.orderInFlight, r.orderSentMS = runStartSent, true, m.now.MonoMS
 	m.emit(StartCmd{
-		Worker: w.ID, Address: w.Address, Task: r.ref, Spec: u.step.job.submission.Job.Spec,
+		OrderID: orderID, Worker: w.ID, Address: w.Address, Task: r.ref, Spec: u.step.job.submission.Job.Spec,
 		Checkpoint: u.record.Checkpoint, Ticket: m.ticket(r), DeadlineMS: m.grantLease(w), Term: m.term.number,
 	})
 }
 
-// sendStop orders a stop. It does nothing while an order is in flight or the worker has
-// not answered; retryOrders tries again.
-func (m *Model) sendStop(r *run) {
-	if r.orderInFlight || !r.worker.answered || r.worker.Address == "" {
-		return
-	}
+// mayStop reports whether a stop may be sent now. It may not while an order is in flight
+// or the worker has not answered; retryOrders tries again.
+func (m *Model) mayStop(r *run) bool {
+	return !r.orderInFlight && r.worker.answered && r.worker.Address != ""
+}
+
+// sendStop orders a stop.
+func (m *Model) sendStop(r *run, orderID uint64) {
 	r.orderInFlight, r.orderSentMS = true, m.now.MonoMS
-	m.emit(StopCmd{Worker: r.worker.ID, Address: r.worker.Address, Task: r.ref, Term: m.term.number})
+	m.emit(StopCmd{OrderID: orderID, Worker: r.worker.ID, Address: r.worker.Address, Task: r.ref, Term: m.term.number})
 }
 
 func (m *Model) findRun(worker string, ref TaskRef) *run {
@@ -187,7 +195,7 @@
 func (m *Model) stopRun(r *run) {
 	if r.state != runStopping && r.state != runStopConfirmed {
 		r.state = runStopping
-		m.sendStop(r)
+		m.queueStop(r)
 	}
 }
 
@@ -223,18 +231,28 @@
 	}
 	switch r.state {
 	case runStopping:
-		m.sendStop(r)
+		m.queueStop(r)
 	case runPlanned, runStartSent:
 		if r.unit.state != unitStarting {
 			return
 		}
 		if m.now.MonoMS-r.unit.stateSinceMS > m.startTimeoutMS(r.unit) {
-			r.worker.cooldownUntilMS = m.now.MonoMS + workerCooldownMS
-			m.stopUnit(r.unit, "worker "+r.worker.ID+" did not confirm the start")
+			m.giveUpStart(r)
 			return
 		}
-		m.sendStart(r)
+		m.queueStart(r)
+	}
+}
+
+// giveUpStart stops a unit whose start was not confirmed in time. A worker to which the
+// start was not even sent is not at fault.
+func (m *Model) giveUpStart(r *run) {
+	if r.state == runPlanned {
+		m.stopUnit(r.unit, "the start was not sent to worker "+r.worker.ID+" in time")
+		return
 	}
+	r.worker.cooldownUntilMS = m.now.MonoMS + workerCooldownMS
+	m.stopUnit(r.unit, "worker "+r.worker.ID+" did not confirm the start")
 }
 
 // startTimeoutMS is how long a start is repeated. It is less than the time for which
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -68,6 +68,14 @@
 
 	// orderLatencyMS is the one-way latency of an order and of its answer.
 	orderLatencyMS int64
+	// orderCongestionMS is added to the latency of an order for each order in flight. An
+	// order that takes longer than requestTimeoutMS is executed but gets no answer.
+	orderCongestionMS float64
+	ordersInFlight    int
+	unansweredOrders  int
+	// passMS is how long each scheduling pass takes.
+	passMS int64
+	passes int
 	// permittedWorkers are the workers that jobs of advised queues may use.
 	permittedWorkers map[string]bool
 	// lostAnswerRate is the fraction of appends that succeed but whose answer is lost.
@@ -88,7 +96,7 @@
 	}, Workspaces: []describer.Workspace{{Name: "a", GuaranteedAccelerators: 32}, {Name: "b", GuaranteedAccelerators: 32}}}
 	sim.config.BuildIndex()
 	for i := range instances {
-		sim.instances = append(sim.instances, &instance{sim: sim, name: fmt.Sprintf("i%d", i)})
+		sim.instances = append(sim.instances, &instance{sim: sim, name: fmt.Sprintf("i%d", i), power: 400})
 	}
 	return sim
 }
@@ -190,17 +198,23 @@
 	epoch        uint64
 	nextSequence uint64
 	down         bool
+	// slowMS is added to the time of each append.
+	slowMS int64
 }
 
-// claim records a new term if its offset is the end of the log and its number is above
-// the current epoch.
-func (l *ledger) claim(c scheduler.ClaimCmd) bool {
-	if c.At != uint64(len(l.records)) || c.Term.Number <= l.epoch {
-		return false
+func (l *ledger) appendMS() int64 { return appendLatencyMS + l.slowMS }
+
+// claim records a new term if its number is above the current epoch. A claim of the
+// current epoch is taken for a repetition of the one that was recorded.
+func (l *ledger) claim(c scheduler.ClaimCmd) (errText string) {
+	switch {
+	case c.Term.Number < l.epoch:
+		return "a higher term has been recorded"
+	case c.Term.Number > l.epoch:
+		l.epoch, l.nextSequence = c.Term.Number, 1
+		l.records = append(l.records, reducer.TermRecord(c.Term))
 	}
-	l.epoch, l.nextSequence = c.Term.Number, 1
-	l.records = append(l.records, reducer.TermRecord(c.Term))
-	return true
+	return ""
 }
 
 // append records decisions of a term. It rejects terms below the epoch and ignores
@@ -226,6 +240,8 @@
 type instance struct {
 	sim  *simulation
 	name string
+	// power is the share of a core, in thousandths.
+	power int
 	// incarnation changes with each start and kill, so that events of an earlier
 	// process are dropped.
 	incarnation int
@@ -252,11 +268,11 @@
 	i.alive, i.loaded, i.pollsWorkers, i.backlog = true, false, false, nil
 	i.startMS = i.sim.nowMS
 	i.model = scheduler.New(scheduler.Config{
-		Instance: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.incarnation), Power: 400,
+		Instance: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.incarnation), Power: i.power,
 		LeaseMS: leaseMS, GangMS: gangTimeoutMS, StopMS: stopDurationMS, RetainMS: 600000,
 	})
 	i.sim.ledger.records = append(i.sim.ledger.records, reducer.InstanceRecord(reducer.Instance{
-		Name: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.incarnation), Power: 400,
+		Name: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.incarnation), Power: i.power,
 	}))
 	i.send(scheduler.ConfiguredMsg{Configuration: i.sim.config})
 	i.repeat(tickIntervalMS, func() int64 {
@@ -387,6 +403,9 @@
 			sim.trace(i.name, c)
 		}
 	case scheduler.ReadCmd, scheduler.StoredCmd:
+	case scheduler.PassedCmd:
+		sim.passes++
+		i.send(scheduler.PassTookMsg{TookMS: sim.passMS})
 	case scheduler.PollWorkersCmd:
 		i.pollsWorkers = c.On
 	case scheduler.ClaimCmd:
@@ -394,11 +413,18 @@
 			i.reply(requestTimeoutMS, func() scheduler.Msg { return scheduler.ClaimedMsg{Err: "the ledger is unreachable"} })
 			return
 		}
-		i.reply(appendLatencyMS, func() scheduler.Msg {
-			if !sim.ledger.claim(c) {
-				return scheduler.ClaimedMsg{Err: "the offset is already taken", Conflict: true}
-			}
-			return scheduler.ClaimedMsg{}
+		i.reply(sim.ledger.appendMS(), func() scheduler.Msg {
+			return scheduler.ClaimedMsg{Err: sim.ledger.claim(c)}
+		})
+	case scheduler.ProbeCmd:
+		if sim.ledger.down || i.ledgerUnreachable {
+			i.reply(requestTimeoutMS, func() scheduler.Msg {
+				return scheduler.ProbedMsg{Term: c.Term, TookMS: requestTimeoutMS, Err: "the ledger is unreachable"}
+			})
+			return
+		}
+		i.reply(sim.ledger.appendMS(), func() scheduler.Msg {
+			return scheduler.ProbedMsg{Term: c.Term, TookMS: sim.ledger.appendMS()}
 		})
 	case scheduler.AdviseCmd:
 		asked := sim.nowMS - i.startMS
@@ -435,12 +461,12 @@
 	case scheduler.StartCmd:
 		f := sim.workers[c.Worker]
 		i.sendOrder(f, func() scheduler.OrderResult { return f.start(c) }, func(r scheduler.OrderResult) scheduler.Msg {
-			return scheduler.StartedMsg{Worker: c.Worker, Task: c.Task, Result: r}
+			return scheduler.StartedMsg{OrderID: c.OrderID, Worker: c.Worker, Task: c.Task, Result: r}
 		})
 	case scheduler.StopCmd:
 		f := sim.workers[c.Worker]
 		i.sendOrder(f, func() scheduler.OrderResult { return f.stop(c) }, func(r scheduler.OrderResult) scheduler.Msg {
-			return scheduler.StoppedMsg{Worker: c.Worker, Task: c.Task, Result: r}
+			return scheduler.StoppedMsg{OrderID: c.OrderID, Worker: c.Worker, Task: c.Task, Result: r}
 		})
 	}
 }
@@ -456,7 +482,7 @@
 	}
 	lost := sim.rng.Float64() < sim.lostAnswerRate
 	incarnation := i.incarnation
-	sim.after(appendLatencyMS, func() {
+	sim.after(sim.ledger.appendMS(), func() {
 		result := sim.ledger.append(c)
 		if lost || i.incarnation != incarnation {
 			return
@@ -495,12 +521,23 @@
 		return
 	}
 	incarnation := i.incarnation
-	sim.after(sim.orderLatencyMS, func() {
+	sim.ordersInFlight++
+	latencyMS := sim.orderLatencyMS + int64(sim.orderCongestionMS*float64(sim.ordersInFlight))
+	lost := latencyMS > requestTimeoutMS
+	send := func(result scheduler.OrderResult) {
+		if i.incarnation == incarnation {
+			i.send(msg(result))
+		}
+	}
+	sim.after(latencyMS, func() {
+		sim.ordersInFlight--
 		result := executeOrder(false)
-		sim.after(sim.orderLatencyMS, func() {
-			if i.incarnation == incarnation {
-				i.send(msg(result))
-			}
-		})
+		if !lost {
+			sim.after(sim.orderLatencyMS, func() { send(result) })
+		}
 	})
+	if lost {
+		sim.unansweredOrders++
+		sim.after(requestTimeoutMS, func() { send(scheduler.OrderUnknown) })
+	}
 }
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -27,9 +27,16 @@
 	nextClaimMS int64
 	// takenOverMS is when this process took over the term.
 	takenOverMS int64
-	// yieldRequestedTerm is the latest term whose holder has asked this instance to
-	// take over.
-	yieldRequestedTerm uint64
+	// probingTerm is the term whose holder has asked this instance to take over, while a
+	// probe of the ledger is in flight. provenTerm is the latest such term after which
+	// the probe was fast enough.
+	probingTerm, provenTerm uint64
+	// holderSeen is the holder of the latest term that this process has seen.
+	holderSeen string
+	// handover is the term that this holder claims for its successor while it shuts
+	// down. handoverSentMS is when the claim was last sent, 0 while none is in flight.
+	handover       *reducer.Term
+	handoverSentMS int64
 	// lastYieldMS is when this holder last asked another instance to take over.
 	// yieldCount counts such requests since the last successful append.
 	lastYieldMS int64
@@ -62,11 +69,11 @@
 func (m *Model) claimReason() (reason string, due bool) {
 	t := m.Table.Term
 	silent := m.now.MonoMS - m.term.silentSinceMS
-	delay := m.claimRank() * claimStaggerMS
+	delay := m.claimDelayMS()
 	switch {
 	case t.Number == 0:
-		return "no term yet", silent >= delay
-	case t.Number == m.term.yieldRequestedTerm:
+		return "no term yet", silent >= firstClaimDelayMS+delay
+	case t.Number == m.term.provenTerm:
 		return "asked by " + t.Holder, true
 	case t.Released:
 		return "released by " + t.Holder, silent >= delay
@@ -76,19 +83,42 @@
 		// more claim first.
 		return "held by an earlier process of this instance", len(m.Table.Unreached) == 0 || silent >= reclaimDelayMS
 	}
-	return "silence of " + t.Holder, silent >= holderTimeoutMS+delay
+	return "silence of " + t.Holder, silent >= holderTimeoutMS+m.termPenaltyMS()+delay
+}
+
+// recentTerms counts the terms that have begun recently, as far as this process knows.
+func (m *Model) recentTerms() (n int) {
+	for number, at := range m.termFirstSeenMS {
+		if number > 0 && m.now.MonoMS-at < recentTermMS {
+			n++
+		}
+	}
+	return n
+}
+
+// termPenaltyMS prolongs the silence after which the term is claimed when the holder has
+// changed often: each new holder first has to ask all workers, which may be what keeps it
+// from renewing the term in time.
+func (m *Model) termPenaltyMS() int64 {
+	return int64(min(max(m.recentTerms()-quietTerms, 0)*termPenaltyMS, maxTermPenaltyMS))
+}
+
+// claimDelayMS is how long this instance lets those with lower ranks claim first.
+func (m *Model) claimDelayMS() int64 {
+	rank := m.claimRank()
+	return int64(min(rank, lowRank)*claimStaggerMS + max(rank-lowRank, 0)*lowRankStaggerMS)
 }
 
 // claimRank is this instance's position among the candidates for the term. An instance
 // that is not recorded in the ledger yet comes last.
-func (m *Model) claimRank() int64 {
+func (m *Model) claimRank() int {
 	candidates := m.termCandidates()
 	for i, n := range candidates {
 		if n.Name == m.cfg.Instance {
-			return int64(min(i, maxClaimRank))
+			return i
 		}
 	}
-	return int64(min(len(candidates), maxClaimRank))
+	return len(candidates)
 }
 
 // standbyRanks is the number of first-ranked candidates that stay ready to take over.
@@ -112,31 +142,53 @@
 	return candidates
 }
 
-// maxClaimRank bounds the claim delay of the last candidates.
-const maxClaimRank = 8
+// lowRank is the rank from which on the claims of successive ranks follow more closely.
+const lowRank = 8
 
-// claim requests a claim of the next term at the end of the ledger as the table has it.
+// claim requests a claim of the next term.
 func (m *Model) claim(reason string) {
 	m.term.claiming = true
 	t := reducer.Term{Number: m.Table.Term.Number + 1, Holder: m.cfg.Holder}
-	m.event("TermClaimSent", "Term", t.Number, "Reason", reason, "Offset", m.Table.Next)
-	m.emit(ClaimCmd{At: m.Table.Next, Term: t})
+	m.event("TermClaimSent", "Term", t.Number, "Reason", reason, "Offset", m.Table.Next, "Rank", m.claimRank(), "RecentTerms", m.recentTerms())
+	m.emit(ClaimCmd{Term: t})
 }
 
 // handleClaimed requests a ledger read after a claim: only the ledger's records tell
 // who holds the term.
 func (m *Model) handleClaimed(msg ClaimedMsg) {
-	pause := int64(claimRetryMS)
-	if msg.Conflict {
-		pause = claimConflictRetryMS
-	}
-	m.term.claiming, m.term.nextClaimMS = false, m.now.MonoMS+pause
+	m.term.claiming, m.term.nextClaimMS = false, m.now.MonoMS+claimRetryMS
 	if msg.Err != "" {
 		m.event("TermClaimFailed", "Error", msg.Err)
 	}
+	if m.term.handover != nil {
+		m.handleHandedOver(msg)
+		return
+	}
 	m.emit(ReadCmd{})
 }
 
+// probeIfAsked measures an append after the holder has asked this instance to take over,
+// unless the request is out of date. The holder may only be as slow as every instance
+// would be.
+func (m *Model) probeIfAsked(msg YieldMsg) {
+	if msg.Term != m.Table.Term.Number || msg.Term == m.term.probingTerm || m.holdsTerm() || m.shuttingDown {
+		return
+	}
+	m.term.probingTerm = msg.Term
+	m.emit(ProbeCmd(msg))
+}
+
+// handleProbed claims the term if an append was fast enough.
+func (m *Model) handleProbed(msg ProbedMsg) {
+	m.term.probingTerm = 0
+	if msg.Err != "" || msg.TookMS > maxProbeMS {
+		m.event("YieldDeclined", "Term", msg.Term, "AppendTookMS", msg.TookMS, "Error", msg.Err)
+		return
+	}
+	m.term.provenTerm = max(m.term.provenTerm, msg.Term)
+	m.claimTermIfDue()
+}
+
 func (m *Model) holdsTerm() bool { return m.Table.Term.Holder == m.cfg.Holder }
 
 // HolderAddress returns the address at which other instances reach the holder, or "" if
@@ -182,6 +234,7 @@
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations = map[string]*worker{}, nil, map[string]*job{}, nil, nil
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.proposer = proposer{}
+	m.orders.Clear()
 	m.answerPendingStores()
 	m.event("TermLost", "Term", m.term.number, "Reason", reason)
 	m.emit(PollWorkersCmd{On: false})
@@ -199,20 +252,25 @@
 }
 
 // yieldTermIfDue asks the other instances in turn to take over while this one can't
-// append to the ledger. If they can't reach the ledger either, nothing changes.
+// append to the ledger. An instance that can't do so either, or not faster, declines.
 func (m *Model) yieldTermIfDue() {
 	p := &m.proposer
-	if len(p.sent) == 0 || m.now.MonoMS-p.sentMS < yieldAfterMS || m.now.MonoMS-m.term.lastYieldMS < yieldIntervalMS {
+	recent := m.recentTerms()
+	yieldAfter := int64(yieldAfterMS) << min(max(recent-1, 0), maxYieldShift)
+	if len(p.sent) == 0 || m.now.MonoMS-p.sentMS < yieldAfter || m.now.MonoMS-m.term.lastYieldMS < yieldIntervalMS {
 		return
 	}
-	others := m.termCandidates()
+	others := slices.DeleteFunc(m.termCandidates(), func(i reducer.Instance) bool {
+		lostMS, lost := m.lostTermMS[i.Name]
+		return lost && m.now.MonoMS-lostMS < recentTermMS
+	})
 	if len(others) == 0 {
 		return
 	}
 	to := others[m.term.yieldCount%len(others)]
 	m.term.yieldCount++
 	m.term.lastYieldMS = m.now.MonoMS
-	m.event("TermYielded", "Term", m.term.number, "To", to.Name, "AppendSentAgoMS", m.now.MonoMS-p.sentMS)
+	m.event("TermYielded", "Term", m.term.number, "To", to.Name, "AppendSentAgoMS", m.now.MonoMS-p.sentMS, "RecentTerms", recent, "OrdersInFlight", m.orders.InFlight())
 	m.emit(YieldCmd{Term: m.term.number, To: to.Name, Address: to.Address})
 }
 
@@ -227,12 +285,39 @@
 	if !m.term.active {
 		return
 	}
-	next := reducer.Term{Number: m.term.number, Holder: m.cfg.Holder, Released: true}
-	if c := m.termCandidates(); len(c) > 0 && c[0].Holder != "" {
-		next = reducer.Term{Number: m.term.number + 1, Holder: c[0].Holder}
+	m.orders.Clear()
+	c := m.termCandidates()
+	if len(c) == 0 || c[0].Holder == "" {
+		m.event("TermReleased", "Term", m.term.number)
+		m.propose(reducer.TermRecord(reducer.Term{Number: m.term.number, Holder: m.cfg.Holder, Released: true}), func(m *Model) { m.stepDown("released") })
+		return
+	}
+	m.term.handover = &reducer.Term{Number: m.term.number + 1, Holder: c[0].Holder}
+	m.event("TermHandedOver", "Term", m.term.number, "To", c[0].Holder)
+	m.onceDurable(func(m *Model) { m.claimForSuccessor() })
+}
+
+// claimForSuccessor claims the next term in the name of the successor. Like any claim, it
+// is the only record of its term's beginning, whoever else claims that term meanwhile.
+func (m *Model) claimForSuccessor() {
+	m.term.handoverSentMS = m.now.MonoMS
+	m.emit(ClaimCmd{Term: *m.term.handover})
+}
+
+// handleHandedOver ends the term once the successor's claim is stored.
+func (m *Model) handleHandedOver(msg ClaimedMsg) {
+	if msg.Err != "" || !m.term.active {
+		return
+	}
+	m.stepDown("handed over")
+}
+
+// retryHandover repeats the claim for the successor while it has no answer. A claim is
+// stored only once.
+func (m *Model) retryHandover() {
+	if m.term.handoverSentMS > 0 && m.term.active && m.now.MonoMS-m.term.handoverSentMS >= claimRetryMS {
+		m.claimForSuccessor()
 	}
-	m.propose(reducer.TermRecord(next), func(m *Model) { m.stepDown("handed over") })
-	m.event("TermHandedOver", "Term", m.term.number, "To", next.Holder)
 }
 
 // tableFresh reports whether the table is recent enough to start tasks. With an older
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -111,7 +111,7 @@
 	}
 	u.setState(unitStarting, m.now.MonoMS)
 	for _, r := range u.runs {
-		m.sendStart(r)
+		m.queueStart(r)
 	}
 }
 
--- a/internal/workload/scheduler/unreached.go
+++ b/internal/workload/scheduler/unreached.go
@@ -7,12 +7,17 @@
 // repeats the records: two holds.
 const unreachedIntervalMS = 1000
 
-// rememberTerm remembers when this process first saw the current term.
+// rememberTerm remembers when this process first saw the current term, and when it saw the
+// preceding holder lose it.
 func (m *Model) rememberTerm() {
-	number := m.Table.Term.Number
+	number, holder := m.Table.Term.Number, m.Table.Term.Holder
 	if _, seen := m.termFirstSeenMS[number]; !seen {
 		m.termFirstSeenMS[number] = m.now.MonoMS
 	}
+	if before := m.term.holderSeen; before != "" && before != holder {
+		m.lostTermMS[instanceOf(before)] = m.now.MonoMS
+	}
+	m.term.holderSeen = holder
 }
 
 // termSeenSince returns when this process first saw the term or a later one, or the
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -43,7 +43,9 @@
 	// holdSequence numbers the holds. An answer to an earlier one is ignored.
 	holdSequence uint64
 	holdInFlight bool
-	holdSentMS   int64
+	// holdQueued is set while a hold waits to be sent.
+	holdQueued bool
+	holdSentMS int64
 	// nextHoldMS is the earliest time of the next hold.
 	nextHoldMS int64
 	// holdFailures counts the holds that have failed since the worker's last report.
@@ -149,16 +151,27 @@
 	return w.listed || w.unlistedMS > 0 && m.now.MonoMS-w.unlistedMS < relistGraceMS
 }
 
-// hold requests the worker's report, and extends its lease if it has runs. The lease is
-// not extended while the term is unconfirmed or the ledger says that the worker was not
-// reached: a successor that computes when the worker's last lease ends relies on both.
+// hold requests the worker's report. A hold that waits at the worker is sent at once: each
+// worker has at most one, and it says nothing about the way to the worker. Any other hold
+// is queued.
 func (m *Model) hold(w *worker) {
-	if w.holdInFlight || w.Address == "" || m.now.MonoMS < w.nextHoldMS {
+	if w.holdInFlight || w.holdQueued || w.Address == "" || m.now.MonoMS < w.nextHoldMS {
+		return
+	}
+	if w.answered && w.holdFailures == 0 && m.holdWaitMS(w) > 0 {
+		m.sendHold(w, 0)
 		return
 	}
+	m.queueHold(w)
+}
+
+// sendHold requests the worker's report, and extends its lease if it has runs. The lease
+// is not extended while the term is unconfirmed or the ledger says that the worker was not
+// reached: a successor that computes when the worker's last lease ends relies on both.
+func (m *Model) sendHold(w *worker, orderID uint64) {
 	w.holdInFlight, w.holdSentMS = true, m.now.MonoMS
 	w.holdSequence++
-	cmd := HoldCmd{Worker: w.ID, Address: w.Address, Sequence: w.holdSequence, Term: m.term.number, ConfirmedEnd: w.confirmedEnd}
+	cmd := HoldCmd{OrderID: orderID, Worker: w.ID, Address: w.Address, Sequence: w.holdSequence, Term: m.term.number, ConfirmedEnd: w.confirmedEnd}
 	if w.answered && w.holdFailures == 0 {
 		cmd.WaitMS = m.holdWaitMS(w)
 		if m.termConfirmed() && w.runs.len() > 0 && !w.unreachedRecorded {
