Export the state of the way to the workers as metrics

Cause: in flight, bound, queue and drops of orders could not be seen. Change: gauges for orders in flight, their bound, queued orders and the age of the first one by kind, orders dropped unsent, and passes ended early.

--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -245,6 +245,7 @@
 				inst.status.loaded.Store(true)
 			}
 			inst.status.lowRank.Store(m.LowRank())
+			inst.meter.setOrderStats(m.OrderStats())
 			for _, registered := range m.Table.Instances {
 				peers[registered.Address] = true
 			}
--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -17,6 +17,11 @@
 	orders   *prometheus.CounterVec
 	events   *prometheus.CounterVec
 	step     prometheus.Histogram
+
+	// Gauges of the way to the workers.
+	ordersInFlight, ordersLimit      prometheus.Gauge
+	ordersQueued, ordersQueueAge     *prometheus.GaugeVec
+	ordersDroppedUnsent, passesPaced prometheus.Gauge
 }
 
 func newMeter() *meter {
@@ -36,11 +41,38 @@
 			Name: "daisyhead_control_step_seconds", Help: "Time of one step of the control loop.",
 			Buckets: []float64{.0001, .0005, .001, .005, .01, .05, .1},
 		}),
+		ordersInFlight: newGauge("daisyhead_orders_in_flight", "Orders to workers that await an answer."),
+		ordersLimit:    newGauge("daisyhead_orders_limit", "Bound of daisyhead_orders_in_flight, by the time that answers take."),
+		ordersQueued: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "daisyhead_orders_queued", Help: "Orders that wait to be sent, by kind.",
+		}, []string{"kind"}),
+		ordersQueueAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "daisyhead_orders_queue_age_seconds", Help: "How long the first of the queued orders has waited, by kind.",
+		}, []string{"kind"}),
+		ordersDroppedUnsent: newGauge("daisyhead_orders_dropped_unsent", "Orders dropped since the start because they were no longer wanted when their turn came."),
+		passesPaced:         newGauge("daisyhead_passes_paced", "Scheduling passes since the start that were ended early because of queued starts."),
 	}
-	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, collectors.NewGoCollector())
+	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
+		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced)
 	return m
 }
 
+func newGauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
+// setOrderStats sets the gauges of the way to the workers.
+func (m *meter) setOrderStats(s scheduler.OrderStats) {
+	m.ordersInFlight.Set(float64(s.InFlight))
+	m.ordersLimit.Set(float64(s.Limit))
+	m.ordersDroppedUnsent.Set(float64(s.DroppedUnsent))
+	m.passesPaced.Set(float64(s.PassesPaced))
+	for k, q := range s.Queues {
+		m.ordersQueued.WithLabelValues(k.String()).Set(float64(q.Orders))
+		m.ordersQueueAge.WithLabelValues(k.String()).Set(float64(q.OldestMS) / 1000)
+	}
+}
+
 func (m *meter) countOrder(kind string, result scheduler.OrderResult) {
 	m.orders.WithLabelValues(kind, string(result)).Inc()
 }
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -163,7 +163,10 @@
 	orders throttler.Throttler[queuedOrder]
 	// passPacedMS is when a pass was last ended early because of queued starts.
 	passPacedMS int64
-	workers     map[string]*worker
+	// droppedUnsent and passesPaced are counters for metrics.
+	droppedUnsent, passesPaced int
+
+	workers map[string]*worker
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
--- a/internal/workload/scheduler/orders.go
+++ b/internal/workload/scheduler/orders.go
@@ -10,6 +10,28 @@
 	worker *worker
 }
 
+// OrderStats describes the way to the workers at present.
+type OrderStats struct {
+	// InFlight is the number of orders that await an answer, Limit its bound.
+	InFlight, Limit int
+	// Queues describes the orders that wait to be sent.
+	Queues map[throttler.Kind]throttler.KindQueue
+	// DroppedUnsent counts the orders that were dropped because they were no longer wanted
+	// when their turn came.
+	DroppedUnsent int
+	// PassesPaced counts the passes that were ended early because of queued starts.
+	PassesPaced int
+}
+
+// OrderStats returns statistics for metrics.
+func (m *Model) OrderStats() OrderStats {
+	s := OrderStats{InFlight: m.orders.InFlight(), Limit: m.orders.Limit(), Queues: map[throttler.Kind]throttler.KindQueue{}, DroppedUnsent: m.droppedUnsent, PassesPaced: m.passesPaced}
+	for _, k := range throttler.Kinds() {
+		s.Queues[k] = m.orders.QueueOf(m.now.MonoMS, k)
+	}
+	return s
+}
+
 // passPacedIntervalMS is the least time between two log entries about passes that were
 // ended early.
 const passPacedIntervalMS = 1000
@@ -25,6 +47,7 @@
 // pacePass ends a pass early. The next one continues.
 func (m *Model) pacePass() {
 	m.passNeeded = true
+	m.passesPaced++
 	if m.now.MonoMS-m.passPacedMS < passPacedIntervalMS {
 		return
 	}
@@ -64,35 +87,41 @@
 		if !ok {
 			return
 		}
-		m.sendOrder(o)
+		if !m.sendOrder(o) {
+			m.droppedUnsent++
+		}
 	}
 }
 
 // sendOrder sends an order if it is still wanted and may be sent.
-func (m *Model) sendOrder(o throttler.Order[queuedOrder]) {
+func (m *Model) sendOrder(o throttler.Order[queuedOrder]) (sent bool) {
 	r, w := o.Item.run, o.Item.worker
 	if r == nil {
 		w.holdQueued = false
 		if m.workers[w.ID] == w && !w.holdInFlight && w.Address != "" {
 			m.sendHold(w, m.orders.Sent(m.now.MonoMS, o))
+			return true
 		}
-		return
+		return false
 	}
 	if !r.orderQueued || r.queuedKind != o.Kind || w.runs.get(r.ref) != r {
-		return
+		return false
 	}
 	r.orderQueued = false
 	switch {
 	case o.Kind == throttler.KindStop:
 		if r.state == runStopping && m.mayStop(r) {
 			m.sendStop(r, m.orders.Sent(m.now.MonoMS, o))
+			return true
 		}
 	case m.shuttingDown || r.unit == nil || r.unit.state != unitStarting:
 	case r.state == runPlanned && m.Config.Closed[w.Domain]:
 		m.stopUnit(r.unit, "domain "+w.Domain+" was closed before the start was sent")
 	case (r.state == runPlanned || r.state == runStartSent) && m.mayStart(r):
 		m.sendStart(r, m.orders.Sent(m.now.MonoMS, o))
+		return true
 	}
+	return false
 }
 
 // countAnswer records the result of an order for the limit of orders in flight, whatever
--- a/internal/workload/throttler/throttler.go
+++ b/internal/workload/throttler/throttler.go
@@ -247,5 +247,34 @@
 	return n
 }
 
-// QueuedOf returns how many orders of a kind wait to be sent.
-func (t *Throttler[T]) QueuedOf(k Kind) int { return len(t.queues[k]) }
+// KindQueue describes the orders of one kind that wait to be sent.
+type KindQueue struct {
+	Orders int
+	// OldestMS is how long the first of them has waited.
+	OldestMS int64
+}
+
+// QueueOf describes the queue of a kind.
+func (t *Throttler[T]) QueueOf(nowMS int64, k Kind) (q KindQueue) {
+	q.Orders = len(t.queues[k])
+	if q.Orders > 0 {
+		q.OldestMS = nowMS - t.queues[k][0].QueuedMS
+	}
+	return q
+}
+
+// Kinds lists all kinds of orders.
+func Kinds() []Kind { return []Kind{KindStop, KindRenewal, KindStart, KindQuery} }
+
+// String returns the name of the kind for metrics.
+func (k Kind) String() string {
+	switch k {
+	case KindStop:
+		return "Stop"
+	case KindRenewal:
+		return "Renewal"
+	case KindStart:
+		return "Start"
+	}
+	return "Query"
+}
