--- a/cmd/daisyhead/platform.go
+++ b/cmd/daisyhead/platform.go
@@ -10,15 +10,18 @@
 	"daisyhead/platform"
 )
 
-type platformServeCommand struct{}
+type platformServeCommand struct {
+	MetricsPort uint16 `long:"metrics-port" value-name:"PORT" description:"port for metrics; 0 means the second port of the range in the settings"`
+}
 
 // Execute runs an instance on the platform until it is interrupted. The last log
 // lines are written before it returns.
-func (platformServeCommand) Execute([]string) error {
+func (c platformServeCommand) Execute([]string) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return exitError{exitUsage, err}
 	}
+	s = s.WithMetricsPort(c.MetricsPort)
 	log := reporter.New(os.Stdout)
 	logCtx, stopLogging := context.WithCancel(context.Background())
 	go log.Run(logCtx)
--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -89,6 +89,8 @@
 	Name    string
 	Address string
 	Handler http.Handler
+	// Optional is set if the instance works without the listener.
+	Optional bool
 }
 
 // Listeners is the list of an instance's listeners.
@@ -191,7 +193,7 @@
 	group, work := errgroup.WithContext(work)
 	listeners = append(listeners,
 		Listener{Name: "Peers", Address: inst.settings.Peer, Handler: forwarder.Handler(inst, inst.storer)},
-		Listener{Name: "Metrics", Address: inst.settings.Metrics, Handler: inst.meter.handler()})
+		Listener{Name: "Metrics", Address: inst.settings.Metrics, Handler: inst.meter.handler(), Optional: true})
 	servers, err := inst.startServers(group, listeners)
 	if err != nil {
 		return err
@@ -236,6 +238,10 @@
 func (inst *Instance) startServers(group *errgroup.Group, listeners Listeners) (servers []*http.Server, err error) {
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp", l.Address)
+		if err != nil && l.Optional {
+			inst.deps.Reporter.Event("ListenerSkipped", "Name", l.Name, "Address", l.Address, "Error", err.Error())
+			continue
+		}
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for %s", l.Name)
 		}
