Keep loading the ledger while its data arrives

Nobody decided for 6.5 s. Ruled out: the claim itself, which took 40 ms. Change: a page is given up only once nothing of it has arrived for the time limit. Instances with less than 0.3 cores begin to load 0.2 to 1 s later.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -222,7 +223,7 @@
 	inst.workerReader.ctx = ctx
 	for _, run := range []func(context.Context){
 		func(ctx context.Context) { inst.loop.Run(ctx, dispatcher{inst, ctx}) },
-		inst.writer.Run, inst.ledger.Run, inst.registerInstance, inst.watchControlLoop,
+		inst.writer.Run, inst.readLedger, inst.registerInstance, inst.watchControlLoop,
 		follower.NewReader(inst.deps.OperatorFeed, inst.config, func() follower.Pace {
 			return follower.Pace{Wait: inst.settings.ConfigDeadline / 2, Interval: operatorsInterval}
 		}).Run,
@@ -234,6 +235,28 @@
 	}
 }
 
+const (
+	// lowPower is the CPU share, in thousandths of a core, below which an instance lets
+	// others load the ledger first after its start.
+	lowPower = 300
+	// minLoadDelay and maxLoadDelay limit by how much. After a loss of power all instances
+	// load the ledger at once, and those that can decide should not wait for the rest.
+	minLoadDelay = 200 * time.Millisecond
+	maxLoadDelay = time.Second
+)
+
+// readLedger reads the ledger until ctx ends.
+func (inst *Instance) readLedger(ctx context.Context) {
+	if inst.settings.Power < lowPower {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minLoadDelay + rand.N(maxLoadDelay-minLoadDelay)):
+		}
+	}
+	inst.ledger.Run(ctx)
+}
+
 // startServers listens on all addresses and serves them in goroutines of the group.
 func (inst *Instance) startServers(group *errgroup.Group, listeners Listeners) (servers []*http.Server, err error) {
 	for _, l := range listeners {
--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -25,7 +25,8 @@
 type Feed[T any] interface {
 	// ReadNewest returns the newest record of each key and the offset from which to continue
 	// reading. Records that are written meanwhile may be missing or be read again. It may take
-	// several calls to the platform, each of which is cancelled after limit.
+	// several calls to the platform, each of which is cancelled after limit without a sign of
+	// an answer.
 	ReadNewest(ctx context.Context, limit time.Duration) ([]T, uint64, error)
 	// Read returns records starting at an offset. It waits up to wait for the first one.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Page[T], error)
