Yield at once when the ledger refuses the holder's appends

The platform reset the holder's connections at 8.1 s; it asked for a successor only after 1.0 s, because the holder had changed 4 s before. The pause that grows with recent changes is meant for a ledger that is slow for every holder. Change: an append that fails at once, and not by running out of time, lifts the growth of that pause. Result: TestYieldAfterRecentChanges fails without the change and passes with it; TestSlowLedgerKeepsTheHolder (700 ms an append) keeps one term.

--- a/internal/workload/follower/ledger.go
+++ b/internal/workload/follower/ledger.go
@@ -225,6 +225,7 @@
 		msg.Result, msg.Err = scheduler.AppendFenced, err.Error()
 	case err != nil:
 		msg.Result, msg.Err = scheduler.AppendUnknown, err.Error()
+		msg.Refused = !errors.IsAny(err, context.DeadlineExceeded, context.Canceled)
 	}
 	return msg
 }
--- a/internal/workload/scheduler/election_test.go
+++ b/internal/workload/scheduler/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"daisyhead/internal/workload/reducer"
@@ -100,3 +101,34 @@
 		t.Errorf("the holder is %+v, want one of the most powerful instances", h)
 	}
 }
+
+// TestYieldAfterRecentChanges replaces the holder twice and then has the ledger refuse the
+// third one. Recent changes must not delay its request to take over.
+func TestYieldAfterRecentChanges(t *testing.T) {
+	sim := newSimulation(t, 1, 6)
+	sim.addWorkers(2, 3)
+	sim.startAll()
+	for range 2 {
+		sim.run(sim.nowMS + 3000)
+		sim.holder().kill()
+	}
+	sim.run(sim.nowMS + 3000)
+	refused := sim.holder()
+	refused.ledgerUnreachable = true
+	sim.run(sim.nowMS + maxYieldMS)
+	if !slices.ContainsFunc(sim.instances, func(i *instance) bool { return i != refused && i.alive && i.model.Deciding() }) {
+		t.Errorf("no other instance has taken over after %d ms", maxYieldMS)
+	}
+}
+
+// TestSlowLedgerKeepsTheHolder makes each append take 700 ms, whoever sends it. Another
+// holder would be no faster, so the term must not change.
+func TestSlowLedgerKeepsTheHolder(t *testing.T) {
+	sim, taken := newElection(t, 1, 36)
+	sim.run(4000)
+	sim.ledger.slowMS = 700
+	sim.run(12_000)
+	if *taken != 1 {
+		t.Errorf("the term was taken %d times, want once", *taken)
+	}
+}
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -76,7 +76,10 @@
 	Term     uint64
 	Sequence uint64
 	Result   AppendResult
-	Err      string
+	// Refused is set if an append with an unknown result failed at once, for example because
+	// its connection was reset, and not by running out of time.
+	Refused bool
+	Err     string
 }
 
 // TaskRef identifies a run of a task.
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -76,7 +76,7 @@
 	claimRetryMS = 300
 	// yieldAfterMS is the time without a successful append after which the holder asks
 	// another instance to take over: a few append retries. It doubles with each recent
-	// change of the holder, at most maxYieldShift times.
+	// change of the holder, at most maxYieldShift times, unless appends fail at once.
 	yieldAfterMS  = 500
 	maxYieldShift = 3
 	// yieldIntervalMS is the pause before the holder asks the next instance.
--- a/internal/workload/scheduler/proposer.go
+++ b/internal/workload/scheduler/proposer.go
@@ -23,6 +23,8 @@
 	sentMS   int64
 	// retryMS is when an unanswered append is sent again.
 	retryMS int64
+	// refused is set while the latest append failed at once.
+	refused bool
 }
 
 // maxBatchBytes keeps an append well below the platform's size limit for a call.
@@ -83,11 +85,11 @@
 	case AppendFenced:
 		m.stepDown("the ledger rejected an append of this term")
 	case AppendUnknown:
-		p.retryMS = m.now.MonoMS + orderRetryMS
+		p.retryMS, p.refused = m.now.MonoMS+orderRetryMS, msg.Refused
 		m.event("AppendUnanswered", "Term", msg.Term, "Sequence", msg.Sequence, "Error", msg.Err)
 	case AppendDone:
 		acks := p.sentAcks
-		p.confirmedMS = p.sentMS
+		p.confirmedMS, p.refused = p.sentMS, false
 		p.sequence++
 		m.term.yieldCount = 0
 		p.sent, p.sentAcks = nil, nil
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -477,6 +477,7 @@
 	sim := i.sim
 	msg := scheduler.AppendedMsg{Term: c.Term, Sequence: c.Sequence, Result: scheduler.AppendUnknown, Err: "no answer"}
 	if sim.ledger.down || i.ledgerUnreachable {
+		msg.Refused = true
 		i.reply(sim.orderLatencyMS, func() scheduler.Msg { return msg })
 		return
 	}
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -256,7 +256,11 @@
 func (m *Model) yieldTermIfDue() {
 	p := &m.proposer
 	recent := m.recentTerms()
-	yieldAfter := int64(yieldAfterMS) << min(max(recent-1, 0), maxYieldShift)
+	yieldAfter := int64(yieldAfterMS)
+	if !p.refused {
+		// The ledger may only be slow, for every holder.
+		yieldAfter <<= min(max(recent-1, 0), maxYieldShift)
+	}
 	if len(p.sent) == 0 || m.now.MonoMS-p.sentMS < yieldAfter || m.now.MonoMS-m.term.lastYieldMS < yieldIntervalMS {
 		return
 	}
