Ask for a successor sooner when appends are refused

The platform refused 11 of 32 instances; the holder, one of them, asked its first successor after 0.5 s, which was refused too, and the third took over after 1.0 s. Change: with refused appends the first request goes out after 0.3 s, that is two retries, and the next ones every 0.1 s for eight instances.

--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -81,6 +81,11 @@
 	maxYieldShift = 3
 	// yieldIntervalMS is the pause before the holder asks the next instance.
 	yieldIntervalMS = 250
+	// refusedYieldAfterMS replaces yieldAfterMS if appends fail at once: two retries.
+	// refusedYieldIntervalMS is then the pause between the first fastYields requests.
+	refusedYieldAfterMS    = 300
+	refusedYieldIntervalMS = 100
+	fastYields             = 8
 	// maxProbeMS is the longest time that an append may take at an instance that takes
 	// over because the holder's appends take too long: half of yieldAfterMS.
 	maxProbeMS = yieldAfterMS / 2
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -256,12 +256,8 @@
 func (m *Model) yieldTermIfDue() {
 	p := &m.proposer
 	recent := m.recentTerms()
-	yieldAfter := int64(yieldAfterMS)
-	if !p.refused {
-		// The ledger may only be slow, for every holder.
-		yieldAfter <<= min(max(recent-1, 0), maxYieldShift)
-	}
-	if len(p.sent) == 0 || m.now.MonoMS-p.sentMS < yieldAfter || m.now.MonoMS-m.term.lastYieldMS < yieldIntervalMS {
+	yieldAfter, interval := m.yieldTimes(recent)
+	if len(p.sent) == 0 || m.now.MonoMS-p.sentMS < yieldAfter || m.now.MonoMS-m.term.lastYieldMS < interval {
 		return
 	}
 	others := slices.DeleteFunc(m.termCandidates(), func(i reducer.Instance) bool {
@@ -278,6 +274,20 @@
 	m.emit(YieldCmd{Term: m.term.number, To: to.Name, Address: to.Address})
 }
 
+// yieldTimes returns the time without a successful append after which this holder first
+// asks another instance to take over, and the pause before it asks the next one. If
+// appends fail at once, the platform may serve other instances; otherwise the ledger may
+// only be slow, for every holder.
+func (m *Model) yieldTimes(recentTerms int) (after, interval int64) {
+	if m.proposer.refused {
+		if m.term.yieldCount < fastYields {
+			return refusedYieldAfterMS, refusedYieldIntervalMS
+		}
+		return refusedYieldAfterMS, yieldIntervalMS
+	}
+	return yieldAfterMS << min(max(recentTerms-1, 0), maxYieldShift), yieldIntervalMS
+}
+
 // releaseTerm hands the term over once all earlier decisions are durable, and stops
 // making new ones. The same record names the successor, so that no instance has to claim
 // the term.
