Send no start after a pause, and survive malformed records

Causes, found by reading for what went wrong at similar systems: - A process that was paused between the decision on a start and its sending sent it afterwards, although the term, the job or the domain might have changed. The worker's fencing covers only the term. - A task or record named JOB.0.-1.0, from one worker or instance, indexed a slice with -1 and ended the process; a stored submission whose step starts after a missing one did the same to every holder in turn. Changes: starts and claims carry the wall-clock time by which they must be sent; a late start is reported as not sent and repeated if still wanted. Names with negative parts and invalid submissions are unreadable records.

--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -52,6 +52,10 @@
 	inst := d.instance
 	switch c := c.(type) {
 	case scheduler.ClaimCmd:
+		if delayed(c.SendByWallMS, time.Now()) {
+			inst.loop.Send(scheduler.ClaimedMsg{Err: "delayed for too long to be sent"})
+			return
+		}
 		inst.loop.Send(inst.writer.Claim(d.ctx, c))
 	case scheduler.ProbeCmd:
 		inst.loop.Send(d.probe(c))
@@ -81,9 +85,9 @@
 	case scheduler.StartCmd:
 		ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 		defer cancel()
-		result, err := inst.deps.WorkerClient.Start(ctx, c)
-		inst.meter.countOrder("Start", result)
-		inst.loop.Send(scheduler.StartedMsg{OrderID: c.OrderID, Worker: c.Worker, Task: c.Task, Result: result, Err: errorText(err)})
+		msg := SendStart(ctx, inst.deps.WorkerClient, c, time.Now())
+		inst.meter.countOrder("Start", msg.Result)
+		inst.loop.Send(msg)
 	case scheduler.StopCmd:
 		ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 		defer cancel()
@@ -93,6 +97,24 @@
 	}
 }
 
+// SendStart sends a start and returns its result. It sends nothing if the process has been
+// paused since the start was decided: meanwhile the term may have passed to another
+// instance, the job been cancelled or the worker's domain been closed.
+func SendStart(ctx context.Context, w WorkerClient, c scheduler.StartCmd, now time.Time) scheduler.StartedMsg {
+	msg := scheduler.StartedMsg{OrderID: c.OrderID, Worker: c.Worker, Task: c.Task}
+	if delayed(c.SendByWallMS, now) {
+		msg.Result = scheduler.OrderNotSent
+		return msg
+	}
+	result, err := w.Start(ctx, c)
+	msg.Result, msg.Err = result, errorText(err)
+	return msg
+}
+
+// delayed reports whether now is after the wall-clock time by which a command must be sent.
+// The wall clock goes on while the process is suspended.
+func delayed(sendByWallMS int64, now time.Time) bool { return now.UnixMilli() > sendByWallMS }
+
 // adviceTimeout limits one call to the recommendation service, which handles calls one at a
 // time.
 const adviceTimeout = 4 * time.Second
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -130,7 +130,7 @@
 	}
 	id.Job = parts[0]
 	for i, field := range []*int{&id.Occurrence, &id.Step, &id.Index} {
-		if *field, err = strconv.Atoi(parts[i+1]); err != nil {
+		if *field, err = strconv.Atoi(parts[i+1]); err != nil || *field < 0 {
 			return id, errors.Wrapf(ErrUnreadable, "unit ID %q is not of the form JOB.OCCURRENCE.STEP.INDEX", s)
 		}
 	}
@@ -255,5 +255,5 @@
 		return s, false
 	}
 	err := cbor.Unmarshal(r.Value, &s)
-	return s, err == nil
+	return s, err == nil && s.Job.Validate() == nil
 }
--- a/internal/workload/reducer/table.go
+++ b/internal/workload/reducer/table.go
@@ -151,10 +151,14 @@
 		if j.submitted {
 			return nil
 		}
-		if err := decode(r, &j.Submission); err != nil {
+		var s Submission
+		if err := decode(r, &s); err != nil {
 			return err
 		}
-		j.submitted = true
+		if err := s.Job.Validate(); err != nil {
+			return errors.Wrapf(errors.CombineErrors(ErrUnreadable, err), "record with key %q", r.Key)
+		}
+		j.Submission, j.submitted = s, true
 	case kindCancel:
 		var c Cancel
 		if err := decode(r, &c); err != nil {
--- a/internal/workload/reducer/table_test.go
+++ b/internal/workload/reducer/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
 	"daisyhead/internal/workload/describer"
@@ -34,6 +35,24 @@
 	}
 }
 
+// TestFirstRecordOfATermCounts applies two claims of one term and a renewal of the term
+// before it. The holder named by the first claim must remain.
+func TestFirstRecordOfATermCounts(t *testing.T) {
+	table := newTable(t, reducer.TermRecord(reducer.Term{Number: 2, Holder: "a/1"}))
+	for i, late := range []reducer.Term{{Number: 2, Holder: "b/1"}, {Number: 1, Holder: "c/1", Renewals: 3}} {
+		if err := table.Apply(uint64(i+1), reducer.TermRecord(late)); !errors.Is(err, reducer.ErrSuperseded) {
+			t.Errorf("term %+v: error %v, want ErrSuperseded", late, err)
+		}
+	}
+	renewed := reducer.Term{Number: 2, Holder: "a/1", Renewals: 1}
+	if err := table.Apply(3, reducer.TermRecord(renewed)); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(renewed, table.Term); diff != "" {
+		t.Errorf("term (-want +got):\n%s", diff)
+	}
+}
+
 func submission(id, queue string) reducer.Record {
 	return reducer.SubmissionRecord(reducer.Submission{
 		Job: describer.Job{ID: id, Queue: queue, Steps: []describer.Step{{Count: 1}}}, Queue: describer.Queue{Name: queue}, AcceptedMS: 5,
@@ -84,7 +103,12 @@
 }
 
 func TestUnreadableRecordsChangeNothing(t *testing.T) {
-	for _, r := range []reducer.Record{{Key: "foreign", Value: []byte("x")}, {Key: "unit/j", Value: []byte("x")}, {Key: "submission/j", Value: []byte{0xff}}} {
+	for _, r := range []reducer.Record{
+		{Key: "foreign", Value: []byte("x")}, {Key: "unit/j", Value: []byte("x")}, {Key: "submission/j", Value: []byte{0xff}},
+		{Key: "unit/j.0.-1.0", Value: reducer.UnitRecord(reducer.UnitID{Job: "j"}, reducer.Unit{}).Value},
+		reducer.SubmissionRecord(reducer.Submission{Job: describer.Job{ID: "j"}}),
+		reducer.SubmissionRecord(reducer.Submission{Job: describer.Job{ID: "j", Steps: []describer.Step{{Count: 1, After: []int{7}}}}}),
+	} {
 		table := reducer.New()
 		if err := table.Apply(3, r); err == nil {
 			t.Errorf("record %q was applied without an error", r.Key)
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -8,7 +8,11 @@
 
 // ClaimCmd claims a term for a process. Of all claims of the same term, the ledger must
 // store only the first, and none once it has stored a record of a later term.
-type ClaimCmd struct{ Term reducer.Term }
+type ClaimCmd struct {
+	Term reducer.Term
+	// SendByWallMS is the wall-clock time after which the claim must not be sent any more.
+	SendByWallMS int64
+}
 
 // ProbeCmd measures how long an append takes. The record that it writes tells nothing new.
 type ProbeCmd struct{ Term uint64 }
@@ -88,6 +92,8 @@
 	// DeadlineMS is the end of the lease on the worker's clock.
 	DeadlineMS int64
 	Term       uint64
+	// SendByWallMS is the wall-clock time after which the start must not be sent any more.
+	SendByWallMS int64
 }
 
 // StopCmd stops a task.
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -152,6 +152,9 @@
 	OrderDone OrderResult = "Done"
 	// OrderUnknown means that no answer came. The order may still be executed.
 	OrderUnknown OrderResult = "Unknown"
+	// OrderNotSent means that the order was not sent, since too much time has passed since
+	// it was decided.
+	OrderNotSent OrderResult = "NotSent"
 	// OrderFenced means that the worker has seen a newer term.
 	OrderFenced OrderResult = "Fenced"
 	// OrderRunEnded means that the run has already ended or been stopped on the worker.
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -105,6 +105,9 @@
 	// maxTableAgeMS is the maximum age of the table at which tasks are started: the
 	// time of two slow ledger reads.
 	maxTableAgeMS = 2000
+	// maxSendDelayMS is how long after the decision a start or a claim may be sent. A
+	// process that is paused in between no longer knows whether it is allowed.
+	maxSendDelayMS = 500
 	// clockJumpMS is the least advance of the wall clock over the monotonic clock that
 	// counts as a jump: the process was suspended, or the wall clock was set.
 	clockJumpMS = 500
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -98,6 +98,7 @@
 	m.emit(StartCmd{
 		OrderID: orderID, Worker: w.ID, Address: w.Address, Task: r.ref, Spec: u.step.job.submission.Job.Spec,
 		Checkpoint: u.record.Checkpoint, Ticket: m.ticket(r), DeadlineMS: m.grantLease(w), Term: m.term.number,
+		SendByWallMS: m.now.WallMS + maxSendDelayMS,
 	})
 }
 
@@ -145,6 +146,8 @@
 		m.event("StartRefused", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Worker", msg.Worker, "Result", msg.Result)
 		m.removeRun(r)
 		m.stopRemaining(r.unit, "a worker refused the start: "+string(msg.Result))
+	case OrderNotSent:
+		m.event("StartNotSent", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Worker", msg.Worker)
 	case OrderUnknown, OrderLeaseExpired:
 		if msg.Result == OrderUnknown {
 			r.startUnanswered, r.lateStartUntilMS = true, r.orderSentMS+maxOrderDelayMS
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -150,7 +150,7 @@
 	m.term.claiming = true
 	t := reducer.Term{Number: m.Table.Term.Number + 1, Holder: m.cfg.Holder}
 	m.event("TermClaimSent", "Term", t.Number, "Reason", reason, "Offset", m.Table.Next, "Rank", m.claimRank(), "RecentTerms", m.recentTerms())
-	m.emit(ClaimCmd{Term: t})
+	m.emit(ClaimCmd{Term: t, SendByWallMS: m.now.WallMS + maxSendDelayMS})
 }
 
 // handleClaimed requests a ledger read after a claim: only the ledger's records tell
@@ -315,7 +315,7 @@
 // is the only record of its term's beginning, whoever else claims that term meanwhile.
 func (m *Model) claimForSuccessor() {
 	m.term.handoverSentMS = m.now.MonoMS
-	m.emit(ClaimCmd{Term: *m.term.handover})
+	m.emit(ClaimCmd{Term: *m.term.handover, SendByWallMS: m.now.WallMS + maxSendDelayMS})
 }
 
 // handleHandedOver ends the term once the successor's claim is stored.
