Do not take a worker for lost before a start was sent to it

A worker's lease ends while it is idle; a task that was placed there and not yet sent made the next tick treat the worker as lost, with all that had been placed on it. Ruled out: silent workers; none was logged. Change: only runs that may be present count against the lease.

--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -376,3 +376,32 @@
 	}
 	sim.expectNoViolations(t)
 }
+
+// TestIdleWorkersAreNotTakenForLost submits jobs after the fleet has been idle for longer
+// than any lease. A worker whose last lease has ended, and to which a task is placed but
+// not yet sent, must not be taken for lost.
+func TestIdleWorkersAreNotTakenForLost(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addWorkers(5, 12)
+	lost := 0
+	sim.trace = func(_ string, e scheduler.EventCmd) {
+		if e.Name == "WorkerLost" {
+			lost++
+		}
+	}
+	sim.startAll()
+	sim.run(30_000)
+	for n := range 50 {
+		sim.after(int64(n*7), func() {
+			sim.submit("render", "a", fmt.Sprintf("job%d", n), independentTasks(1, 8, 3000))
+		})
+	}
+	sim.run(36_000)
+	if lost > 0 {
+		t.Errorf("%d workers were taken for lost", lost)
+	}
+	for n := range 50 {
+		sim.expectStartedWithin(t, fmt.Sprintf("job%d", n), 300)
+	}
+	sim.expectNoViolations(t)
+}
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -129,7 +129,7 @@
 func (m *Model) checkWorkers() {
 	m.proposeUnreachedWorkers()
 	for _, w := range slices.Clone(m.fleet) {
-		if w.runs.len() > 0 && m.now.MonoMS > w.leaseEndMS {
+		if w.mayRunTasks() && m.now.MonoMS > w.leaseEndMS {
 			m.removeAllRuns(w, "its lease expired without an answer")
 		}
 		if !m.listedRecently(w) && w.runs.len() == 0 && !w.holdInFlight {
@@ -141,6 +141,12 @@
 	}
 }
 
+// mayRunTasks reports whether tasks may be present on the worker. Runs whose start was not
+// sent don't count: no lease was granted for them yet.
+func (w *worker) mayRunTasks() bool {
+	return slices.ContainsFunc(w.runs.list, func(r *run) bool { return r.state != runPlanned })
+}
+
 // relistGraceMS is how long a worker still counts as listed after it disappeared from
 // the list: entries that expired during an outage of the platform return within 2 s.
 const relistGraceMS = 2500
