Count a second read's age from its own start, and stop a worker's tasks together

Changes: each read carries its own start. A reservation outlasts two slow passes. Low-ranked instances read the ledger once a second. TestSecondCallCountsFromItsOwnStart is red without it.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -144,9 +144,10 @@
 	ledgerWait             = 600 * time.Millisecond
 	holderLedgerInterval   = 30 * time.Millisecond
 	followerLedgerInterval = 200 * time.Millisecond
-	// lowRankLedgerInterval is for instances that are unlikely to hold the next term. Together
-	// with ledgerWait it stays below the age at which a table is too old to answer callers.
-	lowRankLedgerInterval = 600 * time.Millisecond
+	// lowRankLedgerInterval is for instances that are unlikely to hold the next term, nearly
+	// all of a large fleet. It stays below the age at which a table is too old to answer
+	// callers.
+	lowRankLedgerInterval = time.Second
 	operatorsInterval     = 100 * time.Millisecond
 	workersWait           = time.Second
 	workersInterval       = 300 * time.Millisecond
--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -137,8 +137,8 @@
 func (r *Reader[T]) follow(ctx context.Context, next uint64) error {
 	for ctx.Err() == nil {
 		pace := r.Pace()
-		sent := time.Now()
-		page, err := r.read(ctx, next, pace)
+		began := time.Now()
+		page, asOf, err := r.read(ctx, next, pace)
 		switch {
 		case errors.Is(err, ErrExpired):
 			return err
@@ -150,25 +150,20 @@
 			}
 			continue
 		}
-		asOf := sent
-		if len(page.Items) == 0 {
-			// A read without records returns only after it has waited, so the feed had no
-			// further record until then.
-			asOf = sent.Add(r.readWait(pace))
-		}
 		r.probing, r.probeTimeout = false, 0
 		from := next
 		next += uint64(len(page.Items))
 		r.Handler.Update(from, page.Items, asOf, next >= page.NextOffset)
-		r.waitForNextRead(ctx, pace.Interval-time.Since(sent))
+		r.waitForNextRead(ctx, pace.Interval-time.Since(began))
 	}
 	return ctx.Err()
 }
 
 // read reads once from an offset, with a timeout that is shorter while probing. A call that
 // was sent during an outage may hang after the outage has ended, so a second call is sent
-// before the first one times out. The first answer counts.
-func (r *Reader[T]) read(ctx context.Context, next uint64, pace Pace) (page Page[T], err error) {
+// before the first one times out. The first answer counts. The feed has no other record that
+// was written before asOf and is not in the page.
+func (r *Reader[T]) read(ctx context.Context, next uint64, pace Pace) (page Page[T], asOf time.Time, err error) {
 	wait := r.readWait(pace)
 	limit := wait + roundTripAllowance
 	if r.probing {
@@ -179,12 +174,19 @@
 	defer cancel()
 	type result struct {
 		page Page[T]
+		asOf time.Time
 		err  error
 	}
 	results := make(chan result, 2)
 	send := func(wait time.Duration) {
+		asOf := time.Now()
 		page, err := r.Feed.Read(ctx, next, wait)
-		results <- result{page, err}
+		if len(page.Items) == 0 {
+			// A read without records returns only after it has waited, so the feed had no
+			// further record until then.
+			asOf = asOf.Add(wait)
+		}
+		results <- result{page, asOf, err}
 	}
 	go send(wait)
 	hedge := time.NewTimer(wait + hedgeDelay)
@@ -196,13 +198,13 @@
 			go send(0)
 		case res := <-results:
 			inFlight--
-			page, err = res.page, res.err
+			page, asOf, err = res.page, res.asOf, res.err
 			if err == nil || errors.Is(err, ErrExpired) {
-				return page, err
+				return page, asOf, err
 			}
 		}
 	}
-	return page, err
+	return page, asOf, err
 }
 
 // readWait returns how long a read may wait for a record. While probing it is zero, so that
--- a/internal/workload/follower/silence_test.go
+++ b/internal/workload/follower/silence_test.go
@@ -152,3 +152,43 @@
 		}
 	})
 }
+
+// lostAnswerFeed loses the answer to its first read and answers the second one at once.
+type lostAnswerFeed struct{ reads int }
+
+func (*lostAnswerFeed) ReadNewest(context.Context, time.Duration) ([]string, uint64, error) {
+	return nil, 0, nil
+}
+
+func (f *lostAnswerFeed) Read(ctx context.Context, _ uint64, _ time.Duration) (follower.Page[string], error) {
+	f.reads++
+	if f.reads == 2 {
+		return follower.Page[string]{Items: []string{"a"}, NextOffset: 1}, nil
+	}
+	<-ctx.Done()
+	return follower.Page[string]{}, ctx.Err()
+}
+
+// ageRecorder keeps how old the first records were when they arrived.
+type ageRecorder struct {
+	recorder
+	ages []time.Duration
+}
+
+func (h *ageRecorder) Update(_ uint64, _ []string, asOf time.Time, _ bool) {
+	h.ages = append(h.ages, time.Since(asOf))
+}
+
+// TestSecondCallCountsFromItsOwnStart guards against taking what the second call has read
+// to be as old as the call whose answer was lost.
+func TestSecondCallCountsFromItsOwnStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &ageRecorder{}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		follower.NewReader(&lostAnswerFeed{}, h, func() follower.Pace { return follower.Pace{Wait: time.Second} }).Run(ctx)
+		if len(h.ages) != 1 || h.ages[0] != 0 {
+			t.Errorf("ages of the records %v, want one of 0 s", h.ages)
+		}
+	})
+}
--- a/internal/workload/scheduler/reservation.go
+++ b/internal/workload/scheduler/reservation.go
@@ -20,10 +20,14 @@
 // stopped task is reported: one retry of the order and one report.
 const stopReportMS = 250
 
+// passesToPlace is how many passes a reservation outlasts the time in which its capacity
+// should become free, so that slow passes don't preempt other work for the unit again.
+const passesToPlace = 2
+
 // reservationValid reports whether the reserved workers can still take new tasks, and
 // whether the reservation is recent enough that its capacity may still become free.
 func (m *Model) reservationValid(res *reservation) bool {
-	overdue := m.now.MonoMS-res.createdMS > m.cfg.StopMS+stopReportMS
+	overdue := m.now.MonoMS-res.createdMS > m.cfg.StopMS+stopReportMS+passesToPlace*m.passPauseMS
 	return !overdue && !slices.ContainsFunc(res.workers, func(w *worker) bool { return !m.schedulable(w) })
 }
 
--- a/internal/workload/throttler/throttler.go
+++ b/internal/workload/throttler/throttler.go
@@ -38,9 +38,9 @@
 	// maxLimit keeps the connections that orders use well below the descriptors of the
 	// smallest instances.
 	maxLimit = 256
-	// perWorker lets a second order go while the answer to the first is lost, and bounds
-	// the connections to one worker.
-	perWorker = 2
+	// perWorker bounds the places that a worker can take before it is found to be silent.
+	// All tasks of a worker with 8 accelerators can be stopped at once.
+	perWorker = 8
 	// suspectDivisor bounds the share of the limit for workers that have not answered
 	// their latest order. Each such order occupies its place until it times out.
 	suspectDivisor = 4
