--- a/internal/workload/follower/follower_test.go
+++ b/internal/workload/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,9 @@
 
 // scriptedFeed returns its pages in order and then blocks until the context ends.
 type scriptedFeed struct {
-	newest  []string
+	newest []string
+
+	mu      sync.Mutex
 	pages   []any // follower.Page[string] or error
 	froms   []uint64
 	reads   []time.Duration
@@ -30,15 +33,10 @@
 }
 
 func (f *scriptedFeed) Read(ctx context.Context, from uint64, wait time.Duration) (p follower.Page[string], err error) {
-	f.froms = append(f.froms, from)
-	f.reads = append(f.reads, time.Since(f.started))
-	if len(f.pages) == 0 {
+	switch next := f.next(from).(type) {
+	case nil:
 		<-ctx.Done()
 		return p, ctx.Err()
-	}
-	next := f.pages[0]
-	f.pages = f.pages[1:]
-	switch next := next.(type) {
 	case error:
 		return p, next
 	case follower.Page[string]:
@@ -50,6 +48,18 @@
 	return p, err
 }
 
+// next records a read and returns its page or error, or nil after the last one.
+func (f *scriptedFeed) next(from uint64) (next any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.froms = append(f.froms, from)
+	f.reads = append(f.reads, time.Since(f.started))
+	if len(f.pages) > 0 {
+		next, f.pages = f.pages[0], f.pages[1:]
+	}
+	return next
+}
+
 // recorder records the calls of a Handler.
 type recorder struct{ lines []string }
 
--- a/internal/workload/follower/silence_test.go
+++ b/internal/workload/follower/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,15 +155,14 @@
 }
 
 // lostAnswerFeed loses the answer to its first read and answers the second one at once.
-type lostAnswerFeed struct{ reads int }
+type lostAnswerFeed struct{ reads atomic.Int64 }
 
 func (*lostAnswerFeed) ReadNewest(context.Context, time.Duration) ([]string, uint64, error) {
 	return nil, 0, nil
 }
 
 func (f *lostAnswerFeed) Read(ctx context.Context, _ uint64, _ time.Duration) (follower.Page[string], error) {
-	f.reads++
-	if f.reads == 2 {
+	if f.reads.Add(1) == 2 {
 		return follower.Page[string]{Items: []string{"a"}, NextOffset: 1}, nil
 	}
 	<-ctx.Done()
