Learn how fast workers are, and place gangs on fast ones

Ruled out: waiting (34 jobs are late by their own last run and waiting time), gangs spread over racks (12 runs). Change: package calibrator compares the tasks of each step with each other and keeps a mean for each worker. Among workers of equal cost, gangs and urgent work go to fast workers first, other single tasks to slow ones, and the headroom for urgent work is kept on workers that are not slow. What is known of the workers is lost with the process.

--- a/internal/workload/forecaster/forecaster.go
+++ b/internal/workload/forecaster/forecaster.go
@@ -15,6 +15,8 @@
 	reports int
 	// previous and latest are the reports that the speed is measured between.
 	previous, latest sample
+	// first is the first report, and atWork the latest one of unfinished work.
+	first, atWork sample
 	// lastProgressMS is the time of the latest report with a higher percentage
 	// than the one before.
 	lastProgressMS int64
@@ -34,6 +36,9 @@
 	// minSpeedPercent is the least progress from which a speed is measured. Reports
 	// are in whole percents, so less progress gives too rough a speed.
 	minSpeedPercent = 4
+	// minAveragePercent is the least progress from which an average speed is measured,
+	// for an error of a few percent.
+	minAveragePercent = 20
 	// minStallMS is the shortest time without progress that counts as a stall. It is
 	// several times as long as the platform delays progress reports.
 	minStallMS = 900
@@ -53,10 +58,13 @@
 func (p *Progress) AddReport(atMS int64, percent int) {
 	report := sample{atMS, percent}
 	if p.reports == 0 || percent < p.latest.percent {
-		*p = Progress{startMS: p.startMS, reports: 1, previous: report, latest: report, lastProgressMS: atMS}
+		*p = Progress{startMS: p.startMS, reports: 1, previous: report, latest: report, first: report, atWork: report, lastProgressMS: atMS}
 		return
 	}
 	p.reports++
+	if percent < completePercent {
+		p.atWork = report
+	}
 	if percent > p.latest.percent {
 		p.lastProgressMS = atMS
 	}
@@ -111,6 +119,19 @@
 	return completePercent * (p.latest.atMS - p.previous.atMS) / int64(gained), true
 }
 
+// FromStart reports whether the run has been observed since the beginning of its work.
+func (p Progress) FromStart() bool { return p.reports > 0 && p.first.percent == 0 }
+
+// AverageTotalMS returns how long the entire run takes at its average speed so far. It
+// returns false if the reports of unfinished work show less than minAveragePercent.
+func (p Progress) AverageTotalMS() (totalMS int64, ok bool) {
+	gained := p.atWork.percent - p.first.percent
+	if gained < minAveragePercent {
+		return 0, false
+	}
+	return completePercent * (p.atWork.atMS - p.first.atMS) / int64(gained), true
+}
+
 // RemainingMS returns how long after nowMS the run is expected to end, or 0 if it
 // is overdue.
 func (p Progress) RemainingMS(nowMS, estimateMS int64) int64 {
--- a/internal/workload/forecaster/forecaster_test.go
+++ b/internal/workload/forecaster/forecaster_test.go
@@ -48,6 +48,29 @@
 	}
 }
 
+func TestAverageTotal(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports [][2]int
+		wantMS  int64
+		wantOK  bool
+	}{
+		{"no report", nil, 0, false},
+		{"too little progress", [][2]int{{1000, 0}, {1500, 19}}, 0, false},
+		{"steady", [][2]int{{1000, 0}, {1500, 20}, {2000, 40}}, 2500, true},
+		{"slower later", [][2]int{{1000, 0}, {1500, 20}, {3000, 40}}, 5000, true},
+		{"waits for the others of its gang", [][2]int{{1000, 0}, {2000, 50}, {9000, 100}}, 2000, true},
+		{"seen from its middle on", [][2]int{{1000, 50}, {2000, 70}}, 5000, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			gotMS, ok := progressOf(c.reports...).AverageTotalMS()
+			if gotMS != c.wantMS || ok != c.wantOK {
+				t.Errorf("%d ms, %t, want %d ms, %t", gotMS, ok, c.wantMS, c.wantOK)
+			}
+		})
+	}
+}
+
 func TestStalled(t *testing.T) {
 	for _, c := range []struct {
 		name       string
--- a/internal/workload/packer/packer.go
+++ b/internal/workload/packer/packer.go
@@ -27,6 +27,9 @@
 	Cost float64
 	// StepTasks counts the tasks of the same step that already run on the node.
 	StepTasks int
+	// Slowness is 0 for a node of ordinary speed, above 0 for a slower one, and below 0
+	// for a faster one. It only orders nodes of equal cost.
+	Slowness int
 }
 
 // Request describes tasks that are placed together, or not at all.
@@ -44,6 +47,17 @@
 	PreferRack string
 	// MaxPerWorker limits the tasks of the step on one worker; 0 means no limit.
 	MaxPerWorker int
+	// PreferSlow prefers slow nodes of equal cost instead of fast ones.
+	PreferSlow bool
+}
+
+// slowness returns the node's slowness if the request prefers fast nodes, or how fast the
+// node is if it prefers slow ones.
+func (r Request) slowness(n Node) int {
+	if r.PreferSlow {
+		return -n.Slowness
+	}
+	return n.Slowness
 }
 
 // Place returns the index in nodes that each task is assigned to. It returns
@@ -113,18 +127,19 @@
 }
 
 // placeInRack places the request in the rack with the lowest total cost. Ties
-// go to the rack with the fewest free accelerators.
+// go to the rack where the slowest node in use is fastest, then to the rack with the
+// fewest free accelerators.
 func placeInRack(nodes []Node, maxTasks []int, r Request) (places []int, ok bool) {
 	var best []int
-	bestCost, bestFreeAccelerators := 0.0, 0
+	bestCost, bestSlowness, bestFreeAccelerators := 0.0, 0, 0
 	for _, group := range groupByRack(nodes, maxTasks) {
 		if group.maxTasks < r.Count {
 			continue
 		}
 		placed, _ := placeBestFit(nodes, maxTasks, r, group.nodes)
-		cost := totalCost(nodes, placed)
-		if best == nil || cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(group.freeAccelerators, bestFreeAccelerators)) < 0 {
-			best, bestCost, bestFreeAccelerators = placed, cost, group.freeAccelerators
+		cost, slowness := totalCost(nodes, placed), maxSlowness(nodes, placed, r)
+		if best == nil || cmp.Or(cmp.Compare(cost, bestCost), cmp.Compare(slowness, bestSlowness), cmp.Compare(group.freeAccelerators, bestFreeAccelerators)) < 0 {
+			best, bestCost, bestSlowness, bestFreeAccelerators = placed, cost, slowness, group.freeAccelerators
 		}
 	}
 	return best, best != nil
@@ -158,6 +173,15 @@
 	return cost
 }
 
+// maxSlowness returns the slowness of the least preferred node in places.
+func maxSlowness(nodes []Node, places []int, r Request) int {
+	slowness := r.slowness(nodes[places[0]])
+	for _, p := range places {
+		slowness = max(slowness, r.slowness(nodes[p]))
+	}
+	return slowness
+}
+
 // anyEmptyRackHolds reports whether the request would fit into some rack if no
 // tasks were running there. Unlike FitsEmptyFleet, it leaves out closed nodes.
 func anyEmptyRackHolds(nodes []Node, r Request) bool {
@@ -172,13 +196,14 @@
 }
 
 // placeBestFit assigns the tasks to the candidates: nodes with the lowest cost
-// first, then those that the tasks leave the fewest accelerators on. This keeps
-// entire workers free for tasks that need many accelerators.
+// first, then those of the preferred speed, then those that the tasks leave the fewest
+// accelerators on. This keeps entire workers free for tasks that need many accelerators.
 func placeBestFit(nodes []Node, maxTasks []int, r Request, candidates []int) (places []int, ok bool) {
 	order := slices.DeleteFunc(slices.Clone(candidates), func(i int) bool { return maxTasks[i] == 0 })
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(nodes[a].Cost, nodes[b].Cost),
+			cmp.Compare(r.slowness(nodes[a]), r.slowness(nodes[b])),
 			cmp.Compare(leftoverAccelerators(nodes[a], maxTasks[a], r), leftoverAccelerators(nodes[b], maxTasks[b], r)),
 			cmp.Compare(nodes[a].Free.Accelerators, nodes[b].Free.Accelerators),
 		)
--- a/internal/workload/packer/packer_test.go
+++ b/internal/workload/packer/packer_test.go
@@ -37,6 +37,9 @@
 	costly.Cost = 5
 	occupied := node("a", 8)
 	occupied.StepTasks = 2
+	slow := node("a", 8)
+	slow.Slowness = 1
+	gang := packer.Request{Count: 2, Need: need(8), SameRack: true}
 	for _, c := range []struct {
 		name  string
 		nodes []packer.Node
@@ -52,6 +55,11 @@
 		{"lowest cost first", []packer.Node{costly, node("b", 8)}, packer.Request{Count: 1, Need: need(1)}, []int{1}},
 		{"the cost of a rack counts only the nodes used", []packer.Node{node("a", 8), costly, costly, costly, node("b", 8)}, packer.Request{Count: 1, Need: need(8), SameRack: true}, []int{0}},
 		{"a rack that costs nothing", []packer.Node{costly, node("a", 8), node("b", 8), node("b", 8)}, packer.Request{Count: 2, Need: need(8), SameRack: true}, []int{2, 3}},
+		{"fast nodes first", []packer.Node{slow, node("b", 8)}, packer.Request{Count: 1, Need: need(1)}, []int{1}},
+		{"slow nodes first", []packer.Node{node("b", 8), slow}, packer.Request{Count: 1, Need: need(1), PreferSlow: true}, []int{1}},
+		{"cost goes before speed", []packer.Node{costly, slow}, packer.Request{Count: 1, Need: need(1)}, []int{1}},
+		{"a gang avoids the rack with a slow node", []packer.Node{slow, node("a", 8), node("b", 8), node("b", 8), node("b", 8)}, gang, []int{2, 3}},
+		{"a rack's slow node that is not used does not count", []packer.Node{slow, node("a", 8), node("a", 8)}, gang, []int{1, 2}},
 		{"not all tasks fit", []packer.Node{node("a", 8)}, packer.Request{Count: 9, Need: need(1)}, nil},
 		{"required label", []packer.Node{node("a", 8), node("b", 8)}, packer.Request{Count: 1, Need: need(1), RequireLabel: "b"}, []int{1}},
 		{"preferred rack", []packer.Node{node("a", 1), node("b", 8)}, packer.Request{Count: 1, Need: need(1), PreferRack: "b"}, []int{1}},
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"daisyhead/internal/workload/calibrator"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/reducer"
 )
@@ -45,6 +46,8 @@
 	waitingUnits    int
 	// permits is nil until the step first needs a permit.
 	permits *stepPermits
+	// durations are how long the step's tasks took on their workers.
+	durations []calibrator.Sample
 }
 
 // queue returns the current configuration of the job's queue, or that at the job's
@@ -177,6 +180,8 @@
 	if s.unfinishedUnits > 0 {
 		return
 	}
+	m.speeds.Add(s.durations)
+	s.durations = nil
 	s.occurrence.unfinishedSteps--
 	for _, o := range s.job.occurrences {
 		if o.unfinishedSteps > 0 {
--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -405,3 +405,40 @@
 	}
 	sim.expectNoViolations(t)
 }
+
+// TestUrgentGangsAmongSlowWorkers runs batch tasks on a fleet in which work takes twice as
+// long on every third worker, and then urgent gangs that fit onto the other workers. They
+// must end within their objective, which they can't on slow workers.
+func TestUrgentGangsAmongSlowWorkers(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addWorkers(4, 6)
+	for i, id := range sim.workerIDs {
+		if i%3 == 0 {
+			sim.workers[id].slowdown = 2
+		}
+	}
+	sim.startAll()
+	sim.run(3000)
+	for n := range 12 {
+		id := fmt.Sprintf("ba%014x", n)
+		sim.after(int64(n)*1000, func() { sim.submit("batch", "b", id, independentTasks(90, 1, 2000)) })
+	}
+	sim.run(30_000)
+	gang := gangStep(3, 8, 2000)
+	q, _ := sim.config.Queue("urgent")
+	limit := int64(q.Stretch*float64(gang.EstimateMS)) + q.ObjectiveMS
+	late := 0
+	const gangs = 20
+	for n := range gangs {
+		id := fmt.Sprintf("aa%014x", n)
+		sim.submit("urgent", "a", id, gang)
+		sim.run(30_000 + int64(n+1)*3000)
+		if job := sim.checker.jobs[id]; job.lastDoneMS == 0 || job.lastDoneMS-job.submittedMS > limit {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d of %d urgent gangs ended late", late, gangs)
+	}
+	sim.expectNoViolations(t)
+}
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -28,6 +28,7 @@
 package scheduler
 
 import (
+	"daisyhead/internal/workload/calibrator"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/reducer"
 	"daisyhead/internal/workload/throttler"
@@ -175,6 +176,8 @@
 	droppedUnsent, passesPaced int
 
 	workers map[string]*worker
+	// speeds compares the workers' speeds. It outlives a term.
+	speeds calibrator.Calibrator
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -167,7 +167,7 @@
 
 // node describes the worker to the packer, with what its current runs leave free.
 func (m *Model) node(w *worker) packer.Node {
-	n := packer.Node{Rack: w.Rack, Labels: w.Labels, Room: w.Room, Free: w.Room, Closed: !m.schedulable(w)}
+	n := packer.Node{Rack: w.Rack, Labels: w.Labels, Room: w.Room, Free: w.Room, Closed: !m.schedulable(w), Slowness: m.speeds.Level(w.ID)}
 	if w.health.failedSinceSuccess() {
 		n.Cost = failurePenalty
 	}
@@ -185,7 +185,7 @@
 
 // placeStep places as many of the step's waiting units as fit.
 func (m *Model) placeStep(p *plan, c candidate) {
-	r := requestFor(c.step)
+	r := requestFor(c.step, c.queue)
 	shape := requestShape{service: c.queue.Service, urgent: c.queue.Priority == 0, perpetual: c.step.spec.Perpetual, request: r}
 	if !p.canHold(shape) {
 		m.setWaitReason(c.step.job, "no room")
@@ -315,11 +315,13 @@
 	return nodes
 }
 
-// requestFor returns the request for one unit of the step.
-func requestFor(s *step) packer.Request {
+// requestFor returns the request for one unit of the step. A gang runs at the pace of its
+// slowest worker, and urgent work has little time, so both prefer fast workers. Other
+// tasks leave those to them.
+func requestFor(s *step, q describer.Queue) packer.Request {
 	r := packer.Request{
 		Count: 1, Need: s.spec.Reserved(), RequireLabel: s.spec.RequireLabel,
-		PreferRack: s.spec.DataRack, MaxPerWorker: s.spec.MaxPerWorker,
+		PreferRack: s.spec.DataRack, MaxPerWorker: s.spec.MaxPerWorker, PreferSlow: !s.spec.Gang && q.Priority > 0,
 	}
 	if s.spec.Gang {
 		r.Count, r.SameRack = s.spec.Count, s.spec.SameRack
@@ -371,8 +373,9 @@
 // stopped.
 const headroomDivisor = 6
 
-// reserveHeadroom closes empty workers to all but urgent work. It takes them from as
-// few racks as possible, so that a gang fits into one rack.
+// reserveHeadroom closes empty workers to all but urgent work. It takes those that are
+// not slow first, and them from as few racks as possible, so that a gang fits into one
+// rack.
 func (p *plan) reserveHeadroom() {
 	p.generalNodes = slices.Clone(p.nodes)
 	total := 0
@@ -391,7 +394,7 @@
 	}
 	slices.SortStableFunc(empty, func(a, b int) int {
 		x, y := p.nodes[a].Rack, p.nodes[b].Rack
-		return cmp.Or(cmp.Compare(free[y], free[x]), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(max(p.nodes[a].Slowness, 0), max(p.nodes[b].Slowness, 0)), cmp.Compare(free[y], free[x]), cmp.Compare(x, y))
 	})
 	want := total / headroomDivisor
 	for _, i := range empty {
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -84,6 +84,7 @@
 // removeWorker removes a worker that is neither listed nor has runs.
 func (m *Model) removeWorker(w *worker) {
 	m.proposeReached(w)
+	m.speeds.Forget(w.ID)
 	delete(m.workers, w.ID)
 	m.fleet = slices.DeleteFunc(m.fleet, func(o *worker) bool { return o == w })
 }
