Load the ledger in parts, register small instances later, and record the workers' speeds

All 147 registered at once, and the ledger handles appends one at a time, 4 ms each; reads of it waited behind them. - With one connection a load took 783 ms: page after page. - Among powerful instances the claims of successive ranks were 100 ms apart, counted from each one's own load: 0.6 s from the first load to the term. - A new holder knew nothing of the workers' speeds. Changes: three key ranges are read at the same time; a store that lists its keys in another order is read page by page. Instances with less than 0.3 cores register when they load, 0.7 to 2 s after their start. After an ended holder, powerful instances claim 20 ms apart. The holder records the speeds each 5 s if they have changed, and a successor starts from them. The log tells how long a load took and what a stopped unit loses.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -224,7 +225,7 @@
 	inst.workerReader.ctx = ctx
 	for _, run := range []func(context.Context){
 		func(ctx context.Context) { inst.loop.Run(ctx, dispatcher{inst, ctx}) },
-		inst.writer.Run, inst.readLedger, inst.registerInstance, inst.watchControlLoop,
+		inst.writer.Run, inst.useLedger, inst.watchControlLoop,
 		follower.NewReader(inst.deps.OperatorFeed, inst.config, func() follower.Pace {
 			return follower.Pace{Wait: inst.settings.ConfigDeadline / 2, Interval: operatorsInterval}
 		}).Run,
@@ -238,24 +239,35 @@
 
 const (
 	// lowPower is the CPU share, in thousandths of a core, below which an instance lets
-	// others load the ledger first after its start.
+	// others use the ledger first after its start.
 	lowPower = 300
-	// minLoadDelay and maxLoadDelay limit by how much. After a loss of power all instances
-	// load the ledger at once, and those that can decide should not wait for the rest.
-	minLoadDelay = 700 * time.Millisecond
-	maxLoadDelay = 2 * time.Second
+	// minLedgerDelay and maxLedgerDelay limit by how much. After a loss of power all
+	// instances register and load the ledger at once; it handles their appends one at a
+	// time, and those that can decide should not wait for the rest.
+	minLedgerDelay = 700 * time.Millisecond
+	maxLedgerDelay = 2 * time.Second
 )
 
-// readLedger reads the ledger until ctx ends.
-func (inst *Instance) readLedger(ctx context.Context) {
-	if inst.settings.Power < lowPower {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(minLoadDelay + rand.N(maxLoadDelay-minLoadDelay)):
-		}
+// LedgerDelay returns how long after its start an instance begins to use the ledger, given
+// its CPU share in thousandths of a core.
+func LedgerDelay(power int) time.Duration {
+	if power >= lowPower {
+		return 0
+	}
+	return minLedgerDelay + rand.N(maxLedgerDelay-minLedgerDelay)
+}
+
+// useLedger registers this instance and reads the ledger until ctx ends.
+func (inst *Instance) useLedger(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(LedgerDelay(inst.settings.Power)):
 	}
+	var group sync.WaitGroup
+	group.Go(func() { inst.registerInstance(ctx) })
 	inst.ledger.Run(ctx)
+	group.Wait()
 }
 
 // startServers listens on all addresses and serves them in goroutines of the group.
--- a/internal/workload/calibrator/calibrator.go
+++ b/internal/workload/calibrator/calibrator.go
@@ -30,6 +30,8 @@
 	// levelWidth is the difference of slowness between two levels. It is large enough
 	// that two workers of one speed rarely differ by more than one level.
 	levelWidth = 0.12
+	// restoredPrecision is the precision of an estimate that is restored from a level.
+	restoredPrecision = 4 / (levelWidth * levelWidth)
 	// MaxLevel is the level of the slowest workers, -MaxLevel that of the fastest.
 	MaxLevel = 3
 )
@@ -94,5 +96,28 @@
 	return min(max(level, -MaxLevel), MaxLevel)
 }
 
+// Levels returns the levels of all workers whose level is not 0.
+func (c *Calibrator) Levels() map[string]int {
+	levels := map[string]int{}
+	for worker := range c.workers {
+		if level := c.Level(worker); level != 0 {
+			levels[worker] = level
+		}
+	}
+	return levels
+}
+
+// Restore takes over levels from Levels for the workers that are not known yet.
+func (c *Calibrator) Restore(levels map[string]int) {
+	if c.workers == nil {
+		c.workers = map[string]estimate{}
+	}
+	for worker, level := range levels {
+		if _, known := c.workers[worker]; !known {
+			c.workers[worker] = estimate{weightedSum: float64(level) * levelWidth * restoredPrecision, precision: restoredPrecision}
+		}
+	}
+}
+
 // Forget drops what is known of a worker.
 func (c *Calibrator) Forget(worker string) { delete(c.workers, worker) }
--- a/internal/workload/calibrator/calibrator_test.go
+++ b/internal/workload/calibrator/calibrator_test.go
@@ -105,3 +105,21 @@
 		t.Errorf("level %d after Forget, want 0", got)
 	}
 }
+
+// TestRestore passes levels on to another calibrator, which has to know them at once, keep
+// what it knows itself, and still learn.
+func TestRestore(t *testing.T) {
+	levels := map[string]int{"w1": -3, "w2": -1, "w3": 1, "w4": 2, "w5": 3}
+	var c calibrator.Calibrator
+	c.Restore(levels)
+	c.Restore(map[string]int{"w1": 3})
+	if diff := cmp.Diff(levels, c.Levels()); diff != "" {
+		t.Errorf("levels (-want +got):\n%s", diff)
+	}
+	for range 50 {
+		c.Add([]calibrator.Sample{{"w5", 1000}, {"w6", 1000}, {"w7", 1000}, {"w8", 1000}})
+	}
+	if got := c.Level("w5") - c.Level("w6"); got > 1 {
+		t.Errorf("a worker that is as fast as the others is still %d levels slower", got)
+	}
+}
--- a/internal/workload/follower/handlers.go
+++ b/internal/workload/follower/handlers.go
@@ -40,6 +40,11 @@
 		}
 	}
 	t.Next = next
+	var bytes int
+	for _, r := range items {
+		bytes += len(r.Key) + len(r.Value)
+	}
+	h.Reporter.Event("LedgerTransferred", "Records", len(items), "Bytes", bytes, "TookMS", time.Since(sent).Milliseconds())
 	h.Sink.Send(scheduler.LedgerLoadedMsg{Table: t, AsOfMS: h.ms(sent)})
 }
 
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -44,10 +44,15 @@
 	kindInstance   = "instance"
 	// "unheard" is the stored name.
 	kindUnreached = "unheard"
-	// keyTerm is the only key without an identifier.
-	keyTerm = "term"
+	// keyTerm and keySpeeds are the keys without an identifier.
+	keyTerm   = "term"
+	keySpeeds = "speeds"
 )
 
+// LoadSplits returns keys that divide the records of a busy ledger into parts of similar
+// size: most records are units, whose keys continue with a job's hexadecimal ID.
+func LoadSplits() []string { return []string{kindUnit + "/", kindUnit + "/8"} }
+
 // Submission records an accepted job. The instance that accepts the job writes
 // it.
 type Submission struct {
@@ -108,6 +113,14 @@
 	AgeMS int64
 }
 
+// Speeds records how fast the workers are, as the holder has learned it, for later
+// holders.
+type Speeds struct {
+	// Levels holds how slow each worker is, by its ID: above 0 if it is slower than the
+	// average, below 0 if it is faster. Workers that are not listed are not known.
+	Levels map[string]int
+}
+
 // Phase is the progress of a unit.
 type Phase string
 
@@ -202,6 +215,9 @@
 // TermRecord returns the record of a term.
 func TermRecord(t Term) Record { return encode(keyTerm, t) }
 
+// SpeedsRecord returns the record of the workers' speeds.
+func SpeedsRecord(s Speeds) Record { return encode(keySpeeds, s) }
+
 // InstanceRecord returns the record of an instance's address.
 func InstanceRecord(i Instance) Record { return encode(kindInstance+"/"+i.Name, i) }
 
@@ -246,7 +262,7 @@
 // kind.
 func IsHolderRecord(r Record) bool {
 	kind, _, _ := strings.Cut(r.Key, "/")
-	return kind == keyTerm || kind == kindUnit || kind == kindOutcome || kind == kindUnreached
+	return kind == keyTerm || kind == keySpeeds || kind == kindUnit || kind == kindOutcome || kind == kindUnreached
 }
 
 // CallerRecordJobID returns the job ID of a submission or cancellation, and false for
--- a/internal/workload/reducer/table.go
+++ b/internal/workload/reducer/table.go
@@ -23,6 +23,8 @@
 	// Unreached holds the workers that the holders of the latest terms have not
 	// reached, by worker ID.
 	Unreached map[string]Unreached
+	// Speeds holds what the holders have learned of the workers' speeds.
+	Speeds Speeds
 	// PendingByQueue counts, for each queue, the submitted jobs that have neither
 	// placed a task nor ended nor been cancelled.
 	PendingByQueue map[string]int
@@ -78,6 +80,8 @@
 	switch kind {
 	case keyTerm:
 		return t.applyTerm(offset, r)
+	case keySpeeds:
+		return t.applySpeeds(r)
 	case kindInstance:
 		return t.applyInstance(offset, name, r)
 	case kindSubmission, kindCancel, kindOutcome:
@@ -103,6 +107,15 @@
 	return nil
 }
 
+func (t *Table) applySpeeds(r Record) error {
+	var s Speeds
+	if err := decode(r, &s); err != nil {
+		return err
+	}
+	t.Speeds = s
+	return nil
+}
+
 // applyUnreached replaces the record of a worker that has not been reached. The old
 // one is removed even if the new one can't be decoded.
 func (t *Table) applyUnreached(worker string, r Record) error {
--- a/internal/workload/reducer/table_test.go
+++ b/internal/workload/reducer/table_test.go
@@ -121,3 +121,47 @@
 		}
 	}
 }
+
+// TestHolderProcessEnded orders the registrations of two processes of one instance and the
+// records of the term in several ways. Only a registration of another process behind the
+// holder's latest record shows that the holder has ended.
+func TestHolderProcessEnded(t *testing.T) {
+	register := func(instance, holder string) reducer.Record {
+		return reducer.InstanceRecord(reducer.Instance{Name: instance, Holder: holder})
+	}
+	term := func(renewals uint64) reducer.Record {
+		return reducer.TermRecord(reducer.Term{Number: 1, Holder: "a/1", Renewals: renewals})
+	}
+	for _, c := range []struct {
+		name    string
+		records []reducer.Record
+		want    bool
+	}{
+		{"no term", []reducer.Record{register("a", "a/1")}, false},
+		{"the holder itself", []reducer.Record{register("a", "a/1"), term(0)}, false},
+		{"not registered", []reducer.Record{term(0)}, false},
+		{"registered late", []reducer.Record{term(0), register("a", "a/1")}, false},
+		{"an earlier process", []reducer.Record{register("a", "a/0"), term(0)}, false},
+		{"a newer process", []reducer.Record{register("a", "a/1"), term(0), register("a", "a/2")}, true},
+		{"a newer process of another instance", []reducer.Record{term(0), register("b", "b/2")}, false},
+		{"a renewal behind the other process", []reducer.Record{term(0), register("a", "a/0"), term(1)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := newTable(t, c.records...).HolderProcessEnded(); got != c.want {
+				t.Errorf("ended: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// TestSpeeds replaces the workers' speeds, and keeps them if a record can't be decoded.
+func TestSpeeds(t *testing.T) {
+	want := reducer.Speeds{Levels: map[string]int{"w1": 2, "w2": -1}}
+	table := newTable(t, reducer.SpeedsRecord(reducer.Speeds{Levels: map[string]int{"w3": 1}}), reducer.SpeedsRecord(want))
+	if err := table.Apply(2, reducer.Record{Key: "speeds", Value: []byte{0xff}}); err == nil {
+		t.Error("no error for a record that can't be decoded")
+	}
+	if diff := cmp.Diff(want, table.Speeds); diff != "" {
+		t.Errorf("speeds (-want +got):\n%s", diff)
+	}
+}
--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -410,7 +410,25 @@
 // long on every third worker, and then urgent gangs that fit onto the other workers. They
 // must end within their objective, which they can't on slow workers.
 func TestUrgentGangsAmongSlowWorkers(t *testing.T) {
-	sim := newSimulation(t, 1, 1)
+	sim := newUnevenFleet(t)
+	sim.expectUrgentGangsInTime(t, 20)
+	sim.expectNoViolations(t)
+}
+
+// TestSuccessorKnowsSlowWorkers kills the holder after it has learned which workers are
+// slow. The urgent gangs of the first seconds of the next term must end in time too.
+func TestSuccessorKnowsSlowWorkers(t *testing.T) {
+	sim := newUnevenFleet(t)
+	sim.holder().kill()
+	sim.runUntilDecided(5000)
+	sim.expectUrgentGangsInTime(t, 5)
+	sim.expectNoViolations(t)
+}
+
+// newUnevenFleet returns a fleet in which work takes twice as long on every third worker,
+// after it has run batch tasks on all of them for a while.
+func newUnevenFleet(t *testing.T) *simulation {
+	sim := newSimulation(t, 1, 3)
 	sim.addWorkers(4, 6)
 	for i, id := range sim.workerIDs {
 		if i%3 == 0 {
@@ -424,15 +442,21 @@
 		sim.after(int64(n)*1000, func() { sim.submit("batch", "b", id, independentTasks(90, 1, 2000)) })
 	}
 	sim.run(30_000)
+	return sim
+}
+
+// expectUrgentGangsInTime submits urgent gangs one after the other and checks that each
+// one ends within its objective.
+func (sim *simulation) expectUrgentGangsInTime(t *testing.T, gangs int) {
+	t.Helper()
 	gang := gangStep(3, 8, 2000)
 	q, _ := sim.config.Queue("urgent")
 	limit := int64(q.Stretch*float64(gang.EstimateMS)) + q.ObjectiveMS
 	late := 0
-	const gangs = 20
 	for n := range gangs {
 		id := fmt.Sprintf("aa%014x", n)
 		sim.submit("urgent", "a", id, gang)
-		sim.run(30_000 + int64(n+1)*3000)
+		sim.run(sim.nowMS + 3000)
 		if job := sim.checker.jobs[id]; job.lastDoneMS == 0 || job.lastDoneMS-job.submittedMS > limit {
 			late++
 		}
@@ -440,5 +464,4 @@
 	if late > 0 {
 		t.Errorf("%d of %d urgent gangs ended late", late, gangs)
 	}
-	sim.expectNoViolations(t)
 }
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -181,6 +181,8 @@
 	workers map[string]*worker
 	// speeds compares the workers' speeds. It outlives a term.
 	speeds calibrator.Calibrator
+	// speedsRecordedMS is when this holder last compared the speeds with their record.
+	speedsRecordedMS int64
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
@@ -322,6 +324,7 @@
 	m.retryOrders()
 	m.requestWitnesses()
 	m.removeEndedJobs()
+	m.recordSpeeds()
 	if m.now.MonoMS-m.lastPassMS >= passIntervalMS {
 		m.passNeeded = true
 	}
--- a/internal/workload/scheduler/preempt.go
+++ b/internal/workload/scheduler/preempt.go
@@ -34,14 +34,30 @@
 // loss returns the work, in core-milliseconds, that is lost if the run's whole unit is
 // stopped.
 func (m *Model) loss(r *run) float64 {
-	if r.unit.state == unitStopping || r.startedMS == 0 {
+	if r.unit.state == unitStopping {
 		return 0
 	}
-	perTask := float64(r.need.MilliCores()) / 1000 * float64(m.now.MonoMS-r.startedMS)
+	return m.runLoss(r) * float64(len(r.unit.runs))
+}
+
+// runLoss returns the work of one run, in core-milliseconds, that is lost if it is stopped.
+func (m *Model) runLoss(r *run) float64 {
+	if r.startedMS == 0 {
+		return 0
+	}
+	lost := float64(r.need.MilliCores()) / 1000 * float64(m.now.MonoMS-r.startedMS)
 	if r.unit.step.spec.Checkpoints {
-		perTask /= checkpointLossDivisor
+		lost /= checkpointLossDivisor
+	}
+	return lost
+}
+
+// unitLoss returns the work of all runs of the unit that is lost if it is stopped.
+func (m *Model) unitLoss(u *unit) (lost float64) {
+	for _, r := range u.runs {
+		lost += m.runLoss(r)
 	}
-	return perTask * float64(len(r.unit.runs))
+	return lost
 }
 
 // checkpointLossDivisor reduces the loss of a task that keeps checkpoints: stopping it
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"daisyhead/internal/workload/calibrator"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/reducer"
 )
@@ -147,24 +146,6 @@
 	}
 }
 
-// recordDuration records how long the work of a completed unit takes on its workers. The
-// tasks of a gang end together, so what each of them takes is known from its progress.
-func (m *Model) recordDuration(r *run, kind EndKind) {
-	u := r.unit
-	if kind != EndDone || u == nil || u.state != unitRunning || u.step.spec.Perpetual {
-		return
-	}
-	if u.size() == 1 && r.progress.FromStart() {
-		u.step.durations = append(u.step.durations, calibrator.Sample{Worker: r.worker.ID, TookMS: m.now.MonoMS - r.startedMS})
-		return
-	}
-	for _, member := range u.runs {
-		if tookMS, ok := member.progress.AverageTotalMS(); ok {
-			u.step.durations = append(u.step.durations, calibrator.Sample{Worker: member.worker.ID, TookMS: tookMS})
-		}
-	}
-}
-
 // updateHealth counts a success or failure for the worker's health.
 func (m *Model) updateHealth(w *worker, r *run, e EndReport) {
 	switch e.Kind {
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -88,7 +88,7 @@
 		// reached. Instances that saw the term begin and know more claim first.
 		return "held by an earlier process of this instance", silent >= reclaimDelayMS
 	case m.term.endedTerm == t.Number:
-		return "the process of " + t.Holder + " has ended", m.now.MonoMS-m.term.endedSinceMS >= delay
+		return "the process of " + t.Holder + " has ended", m.now.MonoMS-m.term.endedSinceMS >= m.endedDelayMS()
 	}
 	return "silence of " + t.Holder, silent >= holderTimeoutMS+m.termPenaltyMS()+delay
 }
@@ -125,6 +125,16 @@
 	return int64(min(rank, lowRank)*claimStaggerMS + max(rank-lowRank, 0)*lowRankStaggerMS)
 }
 
+// endedDelayMS is the same once the holder is known to have ended. When all processes were
+// restarted, each one learns it at its own time, when it has loaded the ledger; among
+// powerful instances, which of them is first matters little.
+func (m *Model) endedDelayMS() int64 {
+	if rank := m.claimRank(); rank < len(powerfulOf(m.termCandidates())) {
+		return int64(rank) * lowRankStaggerMS
+	}
+	return m.claimDelayMS()
+}
+
 // claimRank is this instance's position among the candidates for the term. An instance
 // that is not recorded in the ledger yet comes last.
 func (m *Model) claimRank() int {
@@ -240,6 +250,8 @@
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.event("TermTaken", "Term", m.term.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
 	m.emit(PollWorkersCmd{On: true})
+	m.speeds.Restore(m.Table.Speeds.Levels)
+	m.speedsRecordedMS = m.now.MonoMS
 	m.syncJobs()
 	m.endWitnessedJobs()
 	m.passNeeded = true
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -151,8 +151,9 @@
 		return
 	}
 	u.stopReason = reason
+	lost := m.unitLoss(u)
 	u.setState(unitStopping, m.now.MonoMS)
-	m.event("UnitStopping", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Reason", reason)
+	m.event("UnitStopping", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Reason", reason, "LostCoreMS", int64(lost))
 	for _, r := range append([]*run{}, u.runs...) {
 		if r.state == runPlanned {
 			m.removeRun(r)
