Read the ledger in small pages, and let powerful instances answer for those that start

Changes: a read asks for 256 KB at most, and the next one follows at once if the page was full. An instance with less than 0.3 cores waits for 0.3 s, then looks up the instances in the ledger; if some have twice its power it lets them load first and forwards its calls to them meanwhile. This replaces the limit of 0.3 cores for loading later.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -237,39 +235,6 @@
 	}
 }
 
-const (
-	// lowPower is the CPU share, in thousandths of a core, below which an instance lets
-	// others use the ledger first after its start.
-	lowPower = 300
-	// minLedgerDelay and maxLedgerDelay limit by how much. After a loss of power all
-	// instances register and load the ledger at once; it handles their appends one at a
-	// time, and those that can decide should not wait for the rest.
-	minLedgerDelay = 700 * time.Millisecond
-	maxLedgerDelay = 2 * time.Second
-)
-
-// LedgerDelay returns how long after its start an instance begins to use the ledger, given
-// its CPU share in thousandths of a core.
-func LedgerDelay(power int) time.Duration {
-	if power >= lowPower {
-		return 0
-	}
-	return minLedgerDelay + rand.N(maxLedgerDelay-minLedgerDelay)
-}
-
-// useLedger registers this instance and reads the ledger until ctx ends.
-func (inst *Instance) useLedger(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(LedgerDelay(inst.settings.Power)):
-	}
-	var group sync.WaitGroup
-	group.Go(func() { inst.registerInstance(ctx) })
-	inst.ledger.Run(ctx)
-	group.Wait()
-}
-
 // startServers listens on all addresses and serves them in goroutines of the group.
 func (inst *Instance) startServers(group *errgroup.Group, listeners Listeners) (servers []*http.Server, err error) {
 	for _, l := range listeners {
--- a/internal/workload/assembler/assembler_test.go
+++ b/internal/workload/assembler/assembler_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"daisyhead/internal/workload/assembler"
+	"daisyhead/internal/workload/reducer"
 )
 
 // TestRestartOfAllInstances starts 147 instances at once, which all register in a ledger
@@ -23,11 +26,11 @@
 	}
 	var all []registration
 	for n := range instances {
-		power := 192
-		if n%8 == 0 && n/8 < powerful {
-			power = 800
+		r := registration{powerful: n%8 == 0 && n/8 < powerful}
+		if !r.powerful {
+			r.sent = assembler.LedgerDelay()
 		}
-		all = append(all, registration{assembler.LedgerDelay(power), power == 800})
+		all = append(all, r)
 	}
 	slices.SortStableFunc(all, func(a, b registration) int { return int(a.sent - b.sent) })
 	var free, last time.Duration
@@ -41,3 +44,21 @@
 		t.Errorf("the last powerful instance has registered after %v, the target is %v", last, target)
 	}
 }
+
+// TestPowerfulPeers lists whom an instance lets go first.
+func TestPowerfulPeers(t *testing.T) {
+	instances := []reducer.Instance{{Address: "a", Power: 800}, {Address: "b", Power: 400}, {Address: "c", Power: 192}}
+	for _, c := range []struct {
+		power int
+		want  []string
+	}{
+		{192, []string{"a", "b"}},
+		{400, []string{"a"}},
+		{500, nil},
+		{800, nil},
+	} {
+		if diff := cmp.Diff(c.want, assembler.PowerfulPeers(instances, c.power)); diff != "" {
+			t.Errorf("power %d (-want +got):\n%s", c.power, diff)
+		}
+	}
+}
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -9,7 +9,6 @@
 	"daisyhead/internal/workload/acceptor"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/follower"
-	"daisyhead/internal/workload/reducer"
 	"daisyhead/internal/workload/scheduler"
 )
 
@@ -156,6 +155,9 @@
 	lowRank atomic.Bool
 	// seeds holds the peer addresses from the settings, which change when these are reloaded.
 	seeds atomic.Pointer[[]string]
+	// earlyPeers holds the addresses of more powerful instances, from before this one has
+	// loaded the ledger.
+	earlyPeers atomic.Pointer[[]string]
 }
 
 // workerReader reads the list of workers, but only while this instance holds the term.
@@ -219,65 +221,3 @@
 func (inst *Instance) asOf(m *scheduler.Model) time.Time {
 	return inst.start.Add(time.Duration(m.TableAsOfMS()) * time.Millisecond)
 }
-
-const (
-	// registerRetryPause is the pause before a failed registration is retried.
-	registerRetryPause = 500 * time.Millisecond
-	// watchInterval is how often watchControlLoop copies the control loop's state.
-	watchInterval = 500 * time.Millisecond
-)
-
-// record returns the record by which the other instances know this one.
-func (inst *Instance) record() reducer.Record {
-	return reducer.InstanceRecord(reducer.Instance{Name: inst.settings.Instance, Holder: inst.holder, Address: inst.settings.Peer, Power: inst.settings.Power})
-}
-
-// registerInstance records this instance's address in the ledger, where the other instances
-// find it. It retries until the record is written.
-func (inst *Instance) registerInstance(ctx context.Context) {
-	record := inst.record()
-	for ctx.Err() == nil {
-		err := inst.writer.Append(ctx, record)
-		if err == nil {
-			inst.deps.Reporter.Event("InstanceRegistered", "Instance", inst.settings.Instance, "Address", inst.settings.Peer)
-			inst.ledger.ReadNow()
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetryPause):
-		}
-	}
-}
-
-// watchControlLoop regularly copies the state of the control loop that other goroutines need to
-// inst.status, and updates the list of peers.
-func (inst *Instance) watchControlLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(watchInterval):
-		}
-		peers := map[string]bool{}
-		for _, s := range *inst.status.seeds.Load() {
-			peers[s] = true
-		}
-		inst.loop.Inspect(ctx, func(m *scheduler.Model) {
-			if m.TableAsOfMS() > 0 {
-				inst.status.loaded.Store(true)
-			}
-			inst.status.lowRank.Store(m.LowRank())
-			inst.meter.setOrderStats(m.OrderStats())
-			for _, registered := range m.Table.Instances {
-				peers[registered.Address] = true
-			}
-		})
-		delete(peers, inst.settings.Peer)
-		addresses := make([]string, 0, len(peers))
-		for p := range peers {
-			addresses = append(addresses, p)
-		}
-		inst.deps.Peers.SetPeers(addresses)
-	}
-}
--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -18,6 +18,8 @@
 	Items []T
 	// NextOffset is the offset that the next record to be written will get.
 	NextOffset uint64
+	// Full is set if the feed probably has more records than the page holds.
+	Full bool
 }
 
 // Feed is a compacted log: a stream of keyed records that keeps at least the newest record of
@@ -28,7 +30,7 @@
 	// several calls to the platform, each of which is cancelled after limit without a sign of
 	// an answer.
 	ReadNewest(ctx context.Context, limit time.Duration) ([]T, uint64, error)
-	// Read returns records starting at an offset. It waits up to wait for the first one. It
+	// Read returns records starting at an offset, at most MaxPageKB of them. It waits up to wait for the first one. It
 	// may be called again before it has returned.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Page[T], error)
 }
@@ -53,6 +55,12 @@
 	Interval time.Duration
 }
 
+// MaxPageKB limits the records that one read of a feed returns, in units of 1,024 bytes. The
+// platform answers the reads of all instances in turn. If a third of a large fleet catches up
+// after it was cut off, pages of this size delay the others by a few tenths of a second, and
+// a slow link carries one well within its timeout.
+const MaxPageKB = 256
+
 const (
 	// roundTripAllowance is added to Pace.Wait for the round trip to the platform.
 	roundTripAllowance = 700 * time.Millisecond
@@ -155,7 +163,9 @@
 		from := next
 		next += uint64(len(page.Items))
 		r.Handler.Update(from, page.Items, asOf, next >= page.NextOffset)
-		r.waitForNextRead(ctx, pace.Interval-time.Since(began))
+		if !page.Full {
+			r.waitForNextRead(ctx, pace.Interval-time.Since(began))
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/workload/follower/ledger.go
+++ b/internal/workload/follower/ledger.go
@@ -24,6 +24,9 @@
 // share.
 type Ledger interface {
 	Feed[reducer.Record]
+	// ReadPrefix returns the newest records whose keys begin with prefix, without a point from
+	// which to continue. It gives up after limit without a sign of an answer.
+	ReadPrefix(ctx context.Context, prefix string, limit time.Duration) ([]reducer.Record, error)
 	// Append writes records atomically.
 	Append(ctx context.Context, records []reducer.Record) error
 	// AppendInTerm writes records atomically, and only once for each sequence number of a
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -49,6 +49,9 @@
 	keySpeeds = "speeds"
 )
 
+// InstancePrefix is the prefix of the keys of the records of instances.
+const InstancePrefix = kindInstance + "/"
+
 // LoadSplits returns keys that divide the records of a busy ledger into parts of similar
 // size: most records are units, whose keys continue with a job's hexadecimal ID.
 func LoadSplits() []string { return []string{kindUnit + "/", kindUnit + "/8"} }
@@ -221,6 +224,17 @@
 // InstanceRecord returns the record of an instance's address.
 func InstanceRecord(i Instance) Record { return encode(kindInstance+"/"+i.Name, i) }
 
+// Instances decodes records of instances, and leaves out what is none.
+func Instances(records []Record) (instances []Instance) {
+	for _, r := range records {
+		var i Instance
+		if strings.HasPrefix(r.Key, InstancePrefix) && decode(r, &i) == nil {
+			instances = append(instances, i)
+		}
+	}
+	return instances
+}
+
 // UnreachedRecord returns the record of a worker that has not been reached.
 func UnreachedRecord(worker string, u Unreached) Record { return encode(kindUnreached+"/"+worker, u) }
 
