Sum up logs on one screen, and keep only one job's lines to explain it

Change: daisyhead logs summary streams the logs and prints terms, outages, jobs and their waits by queue, stops and lost work by reason, waits, refusals and events of workers, as a table, JSON or YAML; its memory grows with the number of jobs. logs explain keeps the lines of the job and those that any timeline shows.

--- a/cmd/daisyhead/commands.go
+++ b/cmd/daisyhead/commands.go
@@ -38,7 +38,9 @@
 	must(job.AddCommand("wait", "Wait until jobs have ended", "Exits with 0 if all jobs finished, 3 if one was refused, failed or was cancelled, 6 if the outcome of one is unknown.", &jobWaitCommand{}))
 	must(job.AddCommand("explain", "Show the full history of a job", "", &jobExplainCommand{}))
 
-	must(addCommandGroup(p, "logs", "Read the logs of instances on the platform").AddCommand("explain", "Merge logs into the timeline of one job", "Merges the log files of several instances, one file per instance, into one timeline and marks gaps.", &logsExplainCommand{}))
+	logs := addCommandGroup(p, "logs", "Read the logs of instances on the platform")
+	must(logs.AddCommand("summary", "Sum up the logs of several instances", "Counts terms, outages, jobs and their waits by queue, stops and lost work by reason, waits and refusals.", &logsSummaryCommand{}))
+	must(logs.AddCommand("explain", "Merge logs into the timeline of one job", "Merges the log files of several instances, one file per instance, into one timeline and marks gaps.", &logsExplainCommand{}))
 
 	ticket := addCommandGroup(p, "ticket", "Apply numbered change tickets")
 	must(ticket.AddCommand("check", "Validate a ticket without applying it", "", &ticketCheckCommand{}))
--- a/internal/workload/explainer/explainer.go
+++ b/internal/workload/explainer/explainer.go
@@ -49,6 +49,10 @@
 
 // Timeline collects log lines. The zero value is ready to use.
 type Timeline struct {
+	// Job limits the lines that are kept to those that Write needs for this job. If it is
+	// empty, all lines are kept.
+	Job string
+
 	lines []line
 	// Unreadable counts the lines that are not JSON events.
 	Unreadable int
@@ -83,6 +87,9 @@
 		t.Unreadable++
 		return
 	}
+	if t.Job != "" && !contextEvents[event.Msg] && !bytes.Contains(raw, []byte(t.Job)) {
+		return
+	}
 	t.lines = append(t.lines, line{at: event.Time, instance: instance, name: event.Msg, text: formatFields(raw), raw: string(raw)})
 }
 
--- a/internal/workload/explainer/explainer_test.go
+++ b/internal/workload/explainer/explainer_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+// TestTimelineOfOneJob keeps only what the timeline of one job needs. It must look the same.
+func TestTimelineOfOneJob(t *testing.T) {
+	timeline := explainer.Timeline{Job: "5c0e7a21d94b36f8"}
+	for name, log := range map[string]string{"entry-1": entryLog, "entry-2": holderLog} {
+		if err := timeline.AddLog(name, strings.NewReader(log)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out bytes.Buffer
+	if err := timeline.Write(&out, timeline.Job); err != nil {
+		t.Fatal(err)
+	}
+	comparer.Golden(t, "testdata/timeline.golden", out.String())
+}
+
 func TestTimelineOfUnknownJob(t *testing.T) {
 	var timeline explainer.Timeline
 	if err := timeline.Write(os.Stdout, "5c0e7a21d94b36f8"); !errors.Is(err, explainer.ErrNoLines) {
