Tell no outcome without a witness, and no read complete before it has waited

Causes, both suspected from reading the code and shown by a test first: - A holder without any other instance needed no witness, so callers saw a job as completed before its outcome was durable; with the holder and the worker lost in one outage it would have run again. - A read that returned early without records counted as complete up to the end of the wait that it was asked for. Changes: at least one witness is needed; an empty read counts as complete as of its wait only if it has taken that long. Result: TestLoneHolderTellsOnlyWhatIsDurable and TestEmptyReadThatDidNotWait fail before and pass after.

--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -192,9 +192,8 @@
 	send := func(wait time.Duration) {
 		asOf := time.Now()
 		page, err := r.Feed.Read(ctx, next, wait)
-		if len(page.Items) == 0 {
-			// A read without records returns only after it has waited, so the feed had no
-			// further record until then.
+		if len(page.Items) == 0 && time.Since(asOf) >= wait {
+			// The read has waited without finding a record, so there was none until then.
 			asOf = asOf.Add(wait)
 		}
 		results <- result{page, asOf, err}
--- a/internal/workload/follower/follower_test.go
+++ b/internal/workload/follower/follower_test.go
@@ -214,3 +214,49 @@
 		t.Errorf("messages (-want +got):\n%s", diff)
 	}
 }
+
+// hastyFeed answers each read at once, without records and without waiting.
+type hastyFeed struct{ reads int }
+
+func (f *hastyFeed) ReadNewest(context.Context, time.Duration) ([]string, uint64, error) {
+	return nil, 0, nil
+}
+
+func (f *hastyFeed) Read(ctx context.Context, _ uint64, _ time.Duration) (p follower.Page[string], err error) {
+	if f.reads++; f.reads > 1 {
+		<-ctx.Done()
+		return p, ctx.Err()
+	}
+	return p, nil
+}
+
+// asOfRecorder records as of when a feed was said to be complete.
+type asOfRecorder struct {
+	recorder
+	asOf []time.Time
+}
+
+func (h *asOfRecorder) Update(_ uint64, _ []string, asOf time.Time, _ bool) {
+	h.asOf = append(h.asOf, asOf)
+}
+
+// TestEmptyReadThatDidNotWait reads from a feed that answers before the time that it was
+// asked to wait. The feed is complete as of the read, not as of the end of the wait.
+func TestEmptyReadThatDidNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &asOfRecorder{}
+		ctx, cancel := context.WithCancel(context.Background())
+		began := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.NewReader(&hastyFeed{}, h, func() follower.Pace { return follower.Pace{Wait: time.Second} }).Run(ctx)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		<-done
+		if diff := cmp.Diff([]time.Time{began}, h.asOf); diff != "" {
+			t.Errorf("complete as of (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/workload/scheduler/witness.go
+++ b/internal/workload/scheduler/witness.go
@@ -63,8 +63,9 @@
 	return j.State()
 }
 
-// requiredWitnesses is below witnessQuorum if there are fewer other instances.
-func (m *Model) requiredWitnesses() int { return min(witnessQuorum, len(m.termCandidates())) }
+// requiredWitnesses is below witnessQuorum if there are fewer other instances. Without any
+// other one, an outcome has to become durable first.
+func (m *Model) requiredWitnesses() int { return max(min(witnessQuorum, len(m.termCandidates())), 1) }
 
 // requestWitnesses asks other instances to remember outcomes that take long to become
 // durable.
--- a/internal/workload/scheduler/witness_test.go
+++ b/internal/workload/scheduler/witness_test.go
@@ -103,3 +103,31 @@
 		t.Errorf("the job is %s, want %s", got, reducer.StateCompleted)
 	}
 }
+
+// TestLoneHolderTellsOnlyWhatIsDurable completes a job in an outage of the ledger while no
+// other instance is there to remember it. Callers must not be told before the outcome is
+// durable: the only process and the worker may be lost together.
+func TestLoneHolderTellsOnlyWhatIsDurable(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addWorkers(1, 3)
+	sim.startAll()
+	sim.run(3000)
+	sim.submit("render", "a", jobA, independentTasks(1, 8, 1000))
+	sim.run(3500)
+	sim.ledger.down = true
+	sim.run(6000)
+	model := sim.holder().model
+	told := func() reducer.State {
+		j, _ := model.Table.Lookup(jobA)
+		return model.StateOf(j)
+	}
+	if got := told(); got != reducer.StateRunning {
+		t.Errorf("the job is shown as %s in the outage, want %s", got, reducer.StateRunning)
+	}
+	sim.ledger.down = false
+	sim.run(9000)
+	if got := told(); got != reducer.StateCompleted {
+		t.Errorf("the job is shown as %s after the outage, want %s", got, reducer.StateCompleted)
+	}
+	sim.expectNoViolations(t)
+}
