Keep the holder over an outage that all instances share

Change: an instance that could not read the ledger within the last 2 s claims on request only after 1 s without a record of the holder, and no longer once it has read one.

--- a/internal/workload/scheduler/election_test.go
+++ b/internal/workload/scheduler/election_test.go
@@ -259,3 +259,20 @@
 		t.Errorf("the term was taken %d times, want once", *taken)
 	}
 }
+
+// TestOutageForAllKeepsTheHolder cuts all instances off the ledger for several seconds. The
+// holder asks others to take over meanwhile, but it can go on as soon as they can, so the
+// term must not change.
+func TestOutageForAllKeepsTheHolder(t *testing.T) {
+	sim, taken := newElection(t, 1, 30)
+	sim.run(4000)
+	for outageMS := int64(2000); outageMS < 5000; outageMS += 170 {
+		sim.ledger.down = true
+		sim.run(sim.nowMS + outageMS)
+		sim.ledger.down = false
+		sim.run(sim.nowMS + 2000)
+	}
+	if *taken != 1 {
+		t.Errorf("the term was taken %d times, want once", *taken)
+	}
+}
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -88,6 +88,11 @@
 	refusedYieldAfterMS    = 300
 	refusedYieldIntervalMS = 100
 	fastYields             = 8
+	// sharedOutageSilenceMS is for how long an instance that was asked to take over lets the
+	// holder write nothing if it could not read the ledger itself within recentOutageMS:
+	// after an outage for all, the holder can go on as soon as its call in flight has ended.
+	sharedOutageSilenceMS = 1000
+	recentOutageMS        = 2000
 	// offerIntervalMS is the time after which a holder with little power asks a more
 	// powerful instance to take over: the time of a take-over.
 	offerIntervalMS = 1000
@@ -261,7 +266,7 @@
 	case LedgerLoadedMsg:
 		m.handleLedgerLoaded(msg)
 	case LedgerFailedMsg:
-		m.term.silentSinceMS = m.now.MonoMS
+		m.term.silentSinceMS, m.term.ledgerFailedMS = m.now.MonoMS, m.now.MonoMS
 	case ConfiguredMsg:
 		m.handleConfigured(msg)
 	case ListedMsg:
@@ -380,7 +385,7 @@
 	}
 	if reducer.IsHolderRecord(r) {
 		m.term.silentSinceMS = m.now.MonoMS
-		m.liveness.silentTerm = 0
+		m.liveness.silentTerm, m.term.provenTerm = 0, 0
 		return
 	}
 	if id, ok := reducer.CallerRecordJobID(r); ok && m.term.active {
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -21,6 +21,8 @@
 	// table, or failed to read the ledger. While the ledger can't be read, the holder
 	// does not count as silent.
 	silentSinceMS int64
+	// ledgerFailedMS is when this process last failed to read the ledger.
+	ledgerFailedMS int64
 	// endedTerm is the latest term whose holder's process is known to have ended, and
 	// endedSinceMS is when this process learned that.
 	endedTerm    uint64
@@ -80,7 +82,7 @@
 	case t.Number == 0:
 		return "no term yet", silent >= firstClaimDelayMS+delay
 	case t.Number == m.term.provenTerm:
-		return "asked by " + t.Holder, true
+		return "asked by " + t.Holder, silent >= sharedOutageSilenceMS || m.term.ledgerFailedMS == 0 || m.now.MonoMS-m.term.ledgerFailedMS > recentOutageMS
 	case t.Released:
 		return "released by " + t.Holder, silent >= delay
 	case reducer.InstanceOf(t.Holder) == m.cfg.Instance && len(m.Table.Unreached) > 0:
