--- a/internal/workload/assembler/startup.go
+++ b/internal/workload/assembler/startup.go
@@ -18,10 +18,10 @@
 	// it. A large fleet mostly consists of such instances.
 	smallPower = 300
 	smallDelay = 300 * time.Millisecond
-	// minLedgerDelay and maxLedgerDelay limit for how long an instance lets more powerful
-	// ones use the ledger first. After a loss of power all instances register and load the
-	// ledger at once; it handles their appends one at a time, and those that can decide
-	// should not wait for the rest.
+	// minLedgerDelay and maxLedgerDelay limit for how long an instance lets
+	// more powerful ones use the ledger first. After a loss of power all instances register
+	// and load the ledger at once; it handles their appends one at a time, and those that
+	// can decide should not wait for the rest.
 	minLedgerDelay = 400 * time.Millisecond
 	maxLedgerDelay = 1700 * time.Millisecond
 	// findPeersTimeout limits the wait for the records of the instances.
--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -30,8 +30,8 @@
 	// several calls to the platform, each of which is cancelled after limit without a sign of
 	// an answer.
 	ReadNewest(ctx context.Context, limit time.Duration) ([]T, uint64, error)
-	// Read returns records starting at an offset, at most MaxPageKB of them. It waits up to
-	// wait for the first one. It may be called again before it has returned.
+	// Read returns records starting at an offset, at most MaxPageKB of them. It waits up to wait for the first one. It
+	// may be called again before it has returned.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Page[T], error)
 }
 
