Log restarts in place and runs that overlap

A restart of a worker was logged only if it had runs, the ID and the incarnation were not, and a run beside another run of its unit looked like any stray run.

Change: WorkerRestarted names both incarnations and the number of unanswered starts that may still reach the worker; StrayRun tells the incarnation and the state of the unit; RunsOverlap tells on which workers the other run is; StartUnanswered tells the run.

Measured: TestOverlapIsLogged fails without the change (no such events) and passes with it; go test ./internal/workload/... passes but for the known red test.

--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -14,6 +14,16 @@
 	}
 }
 
+// unansweredStarts counts the runs whose starts got no answer and may still be executed.
+func (w *worker) unansweredStarts(nowMS int64) (n int) {
+	for _, r := range slices.Concat(w.lateStarts, w.runs.list) {
+		if nowMS < r.lateStartUntilMS {
+			n++
+		}
+	}
+	return n
+}
+
 // stopLateStarts orders a restarted worker to reject the runs whose starts may still
 // reach it. The stops that the previous incarnation confirmed are lost with it.
 func (m *Model) stopLateStarts(w *worker) {
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -11,6 +11,9 @@
 // handleReport updates the worker and its runs from a report, and sends the next hold.
 func (m *Model) handleReport(w *worker, p WorkerReport) {
 	restarted := w.incarnation != 0 && w.incarnation != p.IncarnationMS
+	if restarted {
+		m.event("WorkerRestarted", "Worker", w.ID, "Incarnation", p.IncarnationMS, "Before", w.incarnation, "Runs", w.runs.len(), "UnansweredStarts", w.unansweredStarts(m.now.MonoMS))
+	}
 	if w.answered && restarted {
 		m.removeRunsBeforeRestart(w, p)
 	}
@@ -112,10 +115,29 @@
 		r.need = s.Reserved()
 	}
 	w.runs.add(r)
-	m.event("StrayRun", "Job", p.Task.Unit.Job, "Unit", p.Task.Unit.String(), "Run", p.Task.Run, "Worker", w.ID)
+	state, beside := m.otherRuns(p.Task)
+	m.event("StrayRun", "Job", p.Task.Unit.Job, "Unit", p.Task.Unit.String(), "Run", p.Task.Run, "Worker", w.ID, "Incarnation", w.incarnation, "UnitState", state)
+	if len(beside) > 0 {
+		m.event("RunsOverlap", "Job", p.Task.Unit.Job, "Unit", p.Task.Unit.String(), "Run", p.Task.Run, "Worker", w.ID, "Incarnation", w.incarnation, "OtherWorkers", beside)
+	}
 	m.queueStop(r)
 }
 
+// otherRuns returns the state of a reported run's unit, and the workers on which another run
+// of the unit is known to have started and not known to have ended.
+func (m *Model) otherRuns(ref TaskRef) (state string, workers []string) {
+	u := m.unit(ref.Unit)
+	if u == nil {
+		return "Unknown", nil
+	}
+	for _, r := range u.runs {
+		if r.ref.Run != ref.Run && r.startedMS > 0 {
+			workers = append(workers, r.worker.ID)
+		}
+	}
+	return u.state.String(), workers
+}
+
 // handleEnd handles a reported end. Ends that were handled before are ignored.
 func (m *Model) handleEnd(w *worker, e EndReport) {
 	if _, seen := w.endDurable[e.Number]; seen || e.Number <= w.confirmedEnd {
--- a/internal/workload/scheduler/reports_test.go
+++ b/internal/workload/scheduler/reports_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"daisyhead/internal/workload/scheduler"
 )
 
@@ -66,3 +68,36 @@
 		t.Error("the run was taken for lost")
 	}
 }
+
+// TestOverlapIsLogged guards against two runs of one task that leave no line in the log: a
+// worker reports a run that was given up while another run of the task is present elsewhere.
+func TestOverlapIsLogged(t *testing.T) {
+	sim := newSmallFleet(t)
+	events := map[string]int{}
+	sim.trace = func(_ string, e scheduler.EventCmd) { events[e.Name]++ }
+	sim.submit("render", "a", jobA, independentTasks(1, 1, 60000))
+	sim.run(4000)
+	var current *fakeRun
+	idle := ""
+	for _, id := range sim.workerIDs {
+		if runs := sim.workers[id].sortedRuns(); len(runs) > 0 {
+			current = runs[0]
+		} else {
+			idle = id
+		}
+	}
+	if current == nil {
+		t.Fatal("the task does not run")
+	}
+	ref := current.ref
+	ref.Run--
+	sim.workers[idle].crash(100)
+	sim.run(7000)
+	sim.workers[idle].runs[ref] = &fakeRun{ref: ref, startMS: sim.nowMS, workSinceMS: -1}
+	sim.run(12000)
+	want := map[string]int{"WorkerRestarted": 1, "StrayRun": 1, "RunsOverlap": 1}
+	got := map[string]int{"WorkerRestarted": events["WorkerRestarted"], "StrayRun": events["StrayRun"], "RunsOverlap": events["RunsOverlap"]}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -173,7 +173,7 @@
 		if msg.Result == OrderUnknown {
 			r.startUnanswered, r.lateStartUntilMS = true, r.orderSentMS+maxOrderDelayMS
 		}
-		m.event("StartUnanswered", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Worker", msg.Worker, "Result", msg.Result, "Error", msg.Err)
+		m.event("StartUnanswered", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Run", msg.Task.Run, "Worker", msg.Worker, "Result", msg.Result, "Error", msg.Err)
 	}
 }
 
--- a/internal/workload/summarizer/summarizer.go
+++ b/internal/workload/summarizer/summarizer.go
@@ -114,6 +114,7 @@
 // workerEvents are the events of workers that are counted.
 var workerEvents = map[string]bool{
 	"WorkerListed": true, "WorkerUnlisted": true, "WorkerSilent": true, "WorkerLost": true, "WorkerSuspected": true, "WorkerSluggish": true,
+	"WorkerRestarted": true, "RunsOverlap": true,
 }
 
 // AddLog adds the log of an instance. Lines may begin with a prefix.
