Reproduce the overlapping runs in a stricter simulation

A worker's clock went on through a restart, so that late starts were refused as expired; a late order reached the next incarnation only after that had answered a hold; runs of a gang were counted by member, so overlaps on other members passed. The platform's pages say that a restarted worker's clock starts anew and that an order without an answer may be executed seconds later; nothing on them protects the next incarnation until it is first asked.

Change: the clock starts with the incarnation, late orders are executed by whatever incarnation lives then, and a gang's run may not start while another run of the gang is on a live worker.

--- a/internal/workload/scheduler/checker_test.go
+++ b/internal/workload/scheduler/checker_test.go
@@ -131,6 +131,9 @@
 	if c.running[key] > 0 {
 		c.addViolation("at %d ms: task %s runs twice at a time, run %d on worker %s", now, key, run.ref.Run, f.id)
 	}
+	for _, m := range f.sim.otherGangRuns(run.ref) {
+		c.addViolation("at %d ms: gang %s run %d starts on %s while run %d is on %s", now, run.ref.Unit, run.ref.Run, f.id, m.run.ref.Run, m.worker.id)
+	}
 	if c.confirmedDone[key] {
 		c.addViolation("at %d ms: task %s was started after its end was confirmed", now, key)
 	}
--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -46,9 +46,6 @@
 	// startTimesMS are the times at which tasks were started here.
 	startTimesMS []int64
 
-	// answeredHold is set once this incarnation has answered a hold.
-	answeredHold bool
-
 	// down is set between a crash and the worker's return. crashes counts the crashes, so
 	// that a worker that crashes again while it is down returns only once. replaced is set
 	// once another worker answers at its address instead.
@@ -80,7 +77,8 @@
 	return ref.Unit.String() + "/" + string(rune('0'+ref.Member%64))
 }
 
-func (f *fakeWorker) clockMS() int64 { return f.sim.nowMS + 1000 }
+// clockMS returns the worker's clock, which starts anew with each incarnation.
+func (f *fakeWorker) clockMS() int64 { return f.sim.nowMS - f.incarnationStartMS + 1000 }
 
 // handleHold answers a hold at once if ends are listed or the hold does not wait, and
 // otherwise when a task ends or the wait is over. A hold without an answer fails after
@@ -106,7 +104,7 @@
 		if answered || f.down || f.unreachable || f.crashes != receivedBy {
 			return
 		}
-		answered, f.answeredHold = true, true
+		answered = true
 		report, result := hold(c)
 		sim.after(sim.orderLatencyMS, func() { send(scheduler.HeldMsg{Result: result, Report: report}) })
 	}
@@ -173,7 +171,7 @@
 	if deadline == 0 {
 		return
 	}
-	f.leaseEndMS = max(f.leaseEndMS, min(deadline-1000, f.sim.nowMS+leaseMS))
+	f.leaseEndMS = max(f.leaseEndMS, min(deadline-1000+f.incarnationStartMS, f.sim.nowMS+leaseMS))
 	endMS := f.leaseEndMS
 	f.sim.after(endMS-f.sim.nowMS+1, func() {
 		if f.leaseEndMS <= endMS {
@@ -348,7 +346,7 @@
 		f.sim.checker.recordLoss(f, run)
 		f.sim.endGang(run.ref, scheduler.EndGangBroken)
 	}
-	f.ends, f.lastEndNumber, f.highestEndedRun, f.fencingToken, f.leaseEndMS, f.answeredHold = nil, 0, map[string]int{}, 0, 0, false
+	f.ends, f.lastEndNumber, f.highestEndedRun, f.fencingToken, f.leaseEndMS = nil, 0, map[string]int{}, 0, 0
 	f.crashes++
 	if f.returnsAsAnother {
 		f.sim.after(backAfterMS, f.replace)
@@ -422,6 +420,22 @@
 	return append(found, given...)
 }
 
+// otherGangRuns returns the runs on live workers that belong to another run of the same gang.
+func (sim *simulation) otherGangRuns(ref scheduler.TaskRef) (found []gangMember) {
+	if !sim.checker.step(ref).Gang {
+		return nil
+	}
+	for _, id := range sim.workerIDs {
+		f := sim.workers[id]
+		for _, run := range f.sortedRuns() {
+			if run.ref.Unit == ref.Unit && run.ref.Run != ref.Run && !f.down {
+				found = append(found, gangMember{f, run})
+			}
+		}
+	}
+	return found
+}
+
 func (f *fakeWorker) beginWork(run *fakeRun) {
 	f.restartWorkTimer(run)
 	if !f.sim.checker.crashesWorker(run.ref) {
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -558,7 +558,7 @@
 
 // sendOrder sends an order to a worker and delivers its answer. An order that is late
 // or that the worker can't receive gets no answer; a late one is still executed, 2 to
-// 12 s after it was sent.
+// 12 s after it was sent, by whatever incarnation of the worker then lives.
 func (i *instance) sendOrder(f *fakeWorker, execute func() scheduler.OrderResult, msg func(scheduler.OrderResult) scheduler.Msg) {
 	sim := i.sim
 	late := sim.rng.Float64() < sim.lateOrderRate
@@ -572,15 +572,7 @@
 	}
 	if f.down || f.unreachable || late {
 		if late && !f.unreachable && !f.down {
-			incarnationStartMS := f.incarnationStartMS
-			sim.after(2000+sim.rng.Int64N(10000), func() {
-				// A crash closes the worker's connections and drops the orders that it
-				// has received but not executed. A late order still reaches the next
-				// incarnation, but only once that has answered a hold.
-				if f.incarnationStartMS == incarnationStartMS || f.answeredHold {
-					executeOrder(true)
-				}
-			})
+			sim.after(2000+sim.rng.Int64N(10000), func() { executeOrder(true) })
 		}
 		i.reply(requestTimeoutMS, func() scheduler.Msg { return msg(scheduler.OrderUnknown) })
 		return
