Keep a unit waiting while one of its starts may still be executed

Cause: a start that gets no answer may be executed seconds later. A confirmed stop, the end of the run or a newer term make the worker reject it, but only in the worker's memory. The holder freed the unit on that evidence and placed it elsewhere; when the worker then restarted under its ID, nothing rejected the start any more. Barring the run again after the restart came too late, was forgotten with a worker that left the model, happened once only, and could be confirmed by an answer from before the restart. A start that was in flight when its run was removed was not remembered at all, and one executed by a new incarnation has a lease that begins later than the holder's bound assumed.

Change: late starts belong to the model and outlive the worker's entry. A unit with late starts stays in unitStopping, in the ledger placed, until a report that was requested after the longest delay does not show the run, the lease of a run started last of all has expired, or another worker has the address. Runs are barred anew in each incarnation; a stop counts only for the incarnation it was sent to. Failures and checkpoints are still recorded at once.

Why it works: whatever the worker forgets, a run that starts late is alone.

Measured: TestLateStartOutlivesCrash failed and passes; it now restarts the worker before the unit can be placed again, since that wait is the fix, and asks that the job completes.

--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -481,9 +481,9 @@
 }
 
 // TestLateStartOutlivesCrash leaves a start unanswered until the holder gives it up, and
-// crashes the worker after it has confirmed the stop and the task has been placed again.
-// The restarted worker no longer knows of the stop. If it executes the late start, that
-// run must not run beside the new one.
+// crashes the worker after it has confirmed the stop, before it executes the start. The
+// restarted worker no longer knows of the stop. If it executes the late start, that run must
+// not run beside a new one.
 func TestLateStartOutlivesCrash(t *testing.T) {
 	cases := 0
 	for seed := range uint64(10) {
@@ -499,18 +499,21 @@
 		sim.run(7200)
 		crashed := 0
 		for _, f := range sim.workers {
-			if len(f.highestEndedRun) > 0 {
+			if len(f.highestEndedRun) > 0 && len(f.startTimesMS) == 0 {
 				f.crash(100)
 				crashed++
 			}
 		}
-		if crashed != 1 || sim.checker.starts != 1 {
-			// A start was executed before its stop, which is not the case under test.
+		if crashed != 1 {
+			// The start was executed before its stop, which is not the case under test.
 			continue
 		}
 		cases++
-		sim.run(40000)
+		sim.run(60000)
 		sim.expectNoViolations(t)
+		if got := sim.jobState(jobA); got != reducer.StateCompleted {
+			t.Errorf("seed %d: the job is %s", seed, got)
+		}
 	}
 	if cases < 5 {
 		t.Errorf("%d of 10 seeds produce the case under test, want at least 5", cases)
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -2,40 +2,105 @@
 
 import "slices"
 
+// A start that got no answer may still be executed seconds later. A worker rejects it if it
+// has confirmed a stop of the run, the run has ended there or it has seen a newer term, but a
+// worker that restarts under its ID has forgotten all of that. The unit of such a start is
+// therefore not placed again while the start may still be executed, whatever the worker has
+// confirmed: a run that starts late is then the only one of its unit.
+
 // maxOrderDelayMS is how long after it was sent an unanswered order may still be
 // executed: the platform's longest delay is 12 s, plus the order's own timeout.
 const maxOrderDelayMS = 13000
 
-// trackLateStart remembers a removed run if a start of it may still reach the worker.
-func (w *worker) trackLateStart(r *run, nowMS int64) {
-	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(o *run) bool { return nowMS >= o.lateStartUntilMS })
-	if nowMS < r.lateStartUntilMS {
-		w.lateStarts = append(w.lateStarts, r)
+// trackLateStart remembers a removed run if a start of it may still reach the worker. The
+// run's unit waits until the start is settled.
+func (m *Model) trackLateStart(r *run) {
+	if r.startInFlight {
+		r.lateStartUntilMS = max(r.lateStartUntilMS, r.orderSentMS+maxOrderDelayMS)
+	}
+	if r.blocked == nil && m.now.MonoMS >= r.lateStartUntilMS {
+		return
+	}
+	if r.unit != nil {
+		r.blocked = r.unit
+		r.unit.lateStarts++
 	}
+	m.lateStarts = append(m.lateStarts, r)
 }
 
-// unansweredStarts counts the runs whose starts got no answer and may still be executed.
-func (w *worker) unansweredStarts(nowMS int64) (n int) {
-	for _, r := range slices.Concat(w.lateStarts, w.runs.list) {
-		if nowMS < r.lateStartUntilMS {
+// unansweredStarts counts the runs whose starts got no answer and may still be executed by
+// the worker.
+func (m *Model) unansweredStarts(w *worker) (n int) {
+	for _, r := range slices.Concat(m.lateStarts, w.runs.list) {
+		if r.worker.ID == w.ID && m.now.MonoMS < r.lateStartUntilMS {
 			n++
 		}
 	}
 	return n
 }
 
-// stopLateStarts orders a restarted worker to reject the runs whose starts may still
-// reach it. The stops that the previous incarnation confirmed are lost with it.
-func (m *Model) stopLateStarts(w *worker) {
-	lateStarts := w.lateStarts
-	w.lateStarts = nil
-	for _, r := range lateStarts {
-		if m.now.MonoMS >= r.lateStartUntilMS || w.runs.get(r.ref) != nil {
-			continue
+// barLateStarts orders a worker to reject the runs whose starts may still reach it, unless
+// its incarnation rejects them already. A run that it has started late occupies capacity and
+// has a lease of its own.
+func (m *Model) barLateStarts(w *worker) {
+	m.lateStarts = slices.DeleteFunc(m.lateStarts, func(r *run) bool {
+		if r.worker.ID != w.ID || r.barredIn == w.incarnation || m.now.MonoMS >= r.lateStartUntilMS || w.runs.get(r.ref) != nil {
+			return false
 		}
-		r.unit, r.orderInFlight, r.orderQueued, r.lastAnswerMS, r.state = nil, false, false, 0, runStopping
+		r.worker, r.unit, r.orderInFlight, r.startInFlight, r.orderQueued, r.lastAnswerMS, r.state = w, nil, false, false, false, 0, runStopping
 		w.runs.add(r)
+		w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
 		m.event("RunBarred", "Job", r.ref.Unit.Job, "Unit", r.ref.Unit.String(), "Run", r.ref.Run, "Worker", w.ID)
 		m.queueStop(r)
+		return true
+	})
+}
+
+// settleLateStarts lets units go on whose late starts can't be executed any more.
+func (m *Model) settleLateStarts() {
+	m.releaseLateStarts(m.lateStartSettled)
+}
+
+// lateStartSettled reports whether the run is not present on its worker and can't start any
+// more: a report that was requested after its start's longest delay does not show it, or the
+// lease of a run that started last of all has expired.
+func (m *Model) lateStartSettled(r *run) bool {
+	if m.now.MonoMS < r.lateStartUntilMS {
+		return false
+	}
+	w := m.workers[r.worker.ID]
+	if w != nil && w.reportAsOfMS >= r.lateStartUntilMS {
+		return w.runs.get(r.ref) == nil
+	}
+	return m.now.MonoMS > r.lateStartUntilMS+withDrift(m.cfg.LeaseMS)
+}
+
+// releaseLateStarts forgets the late starts for which settled returns true, and continues
+// with the units that have waited for them.
+func (m *Model) releaseLateStarts(settled func(*run) bool) {
+	var released []*run
+	m.lateStarts = slices.DeleteFunc(m.lateStarts, func(r *run) bool {
+		if !settled(r) {
+			return false
+		}
+		released = append(released, r)
+		return true
+	})
+	for _, r := range released {
+		if u := r.blocked; u != nil {
+			u.lateStarts--
+			m.finishStopping(u)
+		}
+	}
+}
+
+// lateStartWaitMS returns the time until the unit of a late start waits only for a report of
+// the worker, at most limitMS.
+func (m *Model) lateStartWaitMS(w *worker, limitMS int64) int64 {
+	for _, r := range m.lateStarts {
+		if r.worker.ID == w.ID && r.blocked != nil && r.blocked.state == unitStopping {
+			limitMS = min(limitMS, max(r.lateStartUntilMS-m.now.MonoMS, 0))
+		}
 	}
+	return limitMS
 }
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -196,6 +196,9 @@
 	speeds calibrator.Calibrator
 	// speedsRecordedMS is when this holder last compared the speeds with their record.
 	speedsRecordedMS int64
+	// lateStarts are runs that were removed while their starts could still reach the
+	// workers.
+	lateStarts []*run
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
@@ -356,6 +359,7 @@
 	m.yieldTermIfDue()
 	m.offerTermIfWeak()
 	m.checkWorkers()
+	m.settleLateStarts()
 	m.retryOrders()
 	m.requestWitnesses()
 	m.removeEndedJobs()
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -12,7 +12,7 @@
 func (m *Model) handleReport(w *worker, p WorkerReport) {
 	restarted := w.incarnation != 0 && w.incarnation != p.IncarnationMS
 	if restarted {
-		m.event("WorkerRestarted", "Worker", w.ID, "Incarnation", p.IncarnationMS, "Before", w.incarnation, "Runs", w.runs.len(), "UnansweredStarts", w.unansweredStarts(m.now.MonoMS))
+		m.event("WorkerRestarted", "Worker", w.ID, "Incarnation", p.IncarnationMS, "Before", w.incarnation, "Runs", w.runs.len(), "UnansweredStarts", m.unansweredStarts(w))
 	}
 	if w.answered && restarted {
 		m.removeRunsBeforeRestart(w, p)
@@ -25,9 +25,12 @@
 	w.answered, w.answeredInTerm, w.holdFailures = true, true, 0
 	m.proposeReached(w)
 	w.incarnation, w.clockMS, w.clockAtMS, w.heardMS = p.IncarnationMS, p.ClockMS, m.now.MonoMS, m.now.MonoMS
+	w.reportAsOfMS = w.holdSentMS
 	if restarted {
-		m.stopLateStarts(w)
+		// What an earlier incarnation was ordered to start may have a lease that began now.
+		w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
 	}
+	m.barLateStarts(w)
 	present := map[TaskRef]bool{}
 	slices.SortFunc(p.Ended, func(a, b EndReport) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range p.Ended {
@@ -115,6 +118,7 @@
 		r.need = s.Reserved()
 	}
 	w.runs.add(r)
+	w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
 	state, beside := m.otherRuns(p.Task)
 	m.event("StrayRun", "Job", p.Task.Unit.Job, "Unit", p.Task.Unit.String(), "Run", p.Task.Run, "Worker", w.ID, "Incarnation", w.incarnation, "UnitState", state)
 	if len(beside) > 0 {
@@ -150,6 +154,7 @@
 	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind)
 	if r != nil {
 		m.recordDuration(r, e.Kind)
+		r.barredIn = w.incarnation
 		m.removeRun(r)
 		m.updateHealth(w, r, e)
 	}
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -41,13 +41,22 @@
 	// executed until lateStartUntilMS, even if a repetition of it was answered.
 	startUnanswered  bool
 	lateStartUntilMS int64
+	// barredIn is the incarnation of the worker that rejects starts of the run, because it
+	// has confirmed a stop of the run or has ended it.
+	barredIn int64
+	// blocked is the unit that waits until no start of the removed run can be executed.
+	blocked *unit
 	// orderInFlight is set while an order awaits its answer. orderQueued is set while one
 	// waits to be sent, and queuedKind is then its kind.
 	orderInFlight bool
+	// startInFlight is set while that order is a start.
+	startInFlight bool
 	orderQueued   bool
 	queuedKind    throttler.Kind
-	// orderSentMS is when the last order was sent.
-	orderSentMS int64
+	// orderSentMS is when the last order was sent, and orderIncarnation the incarnation of
+	// the worker at that time.
+	orderSentMS      int64
+	orderIncarnation int64
 	// lastAnswerMS is when the worker last gave a definite answer to an order for the
 	// run. If the run is present, a report that was requested later shows it.
 	lastAnswerMS int64
@@ -111,7 +120,7 @@
 // sendStart orders a start and grants a lease with it.
 func (m *Model) sendStart(r *run, orderID uint64) {
 	w, u := r.worker, r.unit
-	r.state, r.orderInFlight, r.orderSentMS = runStartSent, true, m.now.MonoMS
+	r.state, r.orderInFlight, r.startInFlight, r.orderSentMS = runStartSent, true, true, m.now.MonoMS
 	m.emit(StartCmd{
 		OrderID: orderID, Worker: w.ID, Address: w.Address, Task: r.ref, Spec: u.step.job.submission.Job.Spec,
 		Checkpoint: u.record.Checkpoint, Ticket: m.ticket(r), DeadlineMS: m.grantLease(w), Term: m.term.number,
@@ -127,7 +136,7 @@
 
 // sendStop orders a stop.
 func (m *Model) sendStop(r *run, orderID uint64) {
-	r.orderInFlight, r.orderSentMS = true, m.now.MonoMS
+	r.orderInFlight, r.orderSentMS, r.orderIncarnation = true, m.now.MonoMS, r.worker.incarnation
 	m.emit(StopCmd{OrderID: orderID, Worker: r.worker.ID, Address: r.worker.Address, Task: r.ref, Term: m.term.number})
 }
 
@@ -148,7 +157,7 @@
 	if r == nil {
 		return
 	}
-	r.orderInFlight = false
+	r.orderInFlight, r.startInFlight = false, false
 	r.worker.noteAnswer(msg.Result, m.now.MonoMS)
 	switch msg.Result {
 	case OrderDone, OrderRunEnded:
@@ -195,7 +204,12 @@
 	case OrderUnknown, OrderUnhealthy:
 		m.event("StopUnanswered", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Worker", msg.Worker, "Result", msg.Result, "Error", msg.Err)
 	default:
-		r.state, r.lastAnswerMS = runStopConfirmed, m.now.MonoMS
+		if r.orderIncarnation != r.worker.incarnation {
+			// The worker has restarted since, and may have forgotten the stop.
+			m.queueStop(r)
+			return
+		}
+		r.state, r.lastAnswerMS, r.barredIn = runStopConfirmed, m.now.MonoMS, r.worker.incarnation
 		r.worker.expediteHold(m.now.MonoMS)
 	}
 }
@@ -228,7 +242,7 @@
 // removeRun removes the run from its worker and its unit, which frees its capacity.
 func (m *Model) removeRun(r *run) {
 	r.worker.runs.remove(r)
-	r.worker.trackLateStart(r, m.now.MonoMS)
+	m.trackLateStart(r)
 	m.passNeeded = true
 	if r.unit == nil {
 		return
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -45,6 +45,8 @@
 	record reducer.Unit
 	// runs are the runs of its tasks that are planned or may be present on workers.
 	runs []*run
+	// lateStarts counts removed runs whose starts may still be executed.
+	lateStarts int
 	// pendingEnds are reported ends that are not durable yet.
 	pendingEnds []endRef
 	// failed is set once a task of the current run has failed by itself.
@@ -208,6 +210,7 @@
 		return
 	}
 	if u.failed && !u.step.spec.Perpetual {
+		u.failed = false
 		u.record.Failures++
 		if u.record.Failures >= max(m.queue(u.step.job).Attempts, 1) && !u.step.job.cancelled {
 			u.setState(unitFailed, m.now.MonoMS)
@@ -218,6 +221,10 @@
 	if m.giveUpIfCrashing(u) {
 		return
 	}
+	if u.lateStarts > 0 {
+		m.awaitLateStarts(u)
+		return
+	}
 	u.record.Phase, u.record.Workers, u.record.Incarnations = reducer.PhaseWaiting, nil, nil
 	u.setState(unitWaiting, m.now.MonoMS)
 	m.recordUnit(u)
@@ -226,6 +233,16 @@
 	m.finishCancel(u.step.job)
 }
 
+// awaitLateStarts records the end of a run whose starts may still be executed. In the ledger,
+// the unit stays placed, so that a successor waits for them too.
+func (m *Model) awaitLateStarts(u *unit) {
+	if len(u.pendingEnds) > 0 {
+		m.recordUnit(u)
+	}
+	m.event("UnitAwaitsStarts", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "Reason", u.stopReason)
+	m.finishCancel(u.step.job)
+}
+
 // recordUnit proposes the unit's record, and marks the unit's ends as durable once the
 // record is.
 func (m *Model) recordUnit(u *unit) {
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -48,6 +48,8 @@
 	// holdQueued is set while a hold waits to be sent.
 	holdQueued bool
 	holdSentMS int64
+	// reportAsOfMS is when the hold was sent that the latest report answers.
+	reportAsOfMS int64
 	// nextHoldMS is the earliest time of the next hold.
 	nextHoldMS int64
 	// holdFailures counts the holds that have failed since the worker's last report.
@@ -58,9 +60,6 @@
 
 	health workerHealth
 	runs   runList
-	// lateStarts are runs that were removed while their starts could still reach the
-	// worker.
-	lateStarts []*run
 	// endDurable tells for each unconfirmed end whether it is durable.
 	endDurable map[int64]bool
 	// confirmedEnd is the number up to which all ends are durable. Holds tell it to the
@@ -212,7 +211,7 @@
 	if w.onTrial() {
 		wait = min(wait, provenAfterMS)
 	}
-	return wait
+	return m.lateStartWaitMS(w, wait)
 }
 
 // grantLease returns a deadline on the worker's clock that is one lease from now, and
@@ -261,6 +260,8 @@
 	m.countCrash(w, true, nil)
 	m.resolveCrashes(w.ID, 0)
 	m.removeAllRuns(w, "another incarnation of the worker answered")
+	// The worker that now has the address rejects orders for the former one.
+	m.releaseLateStarts(func(r *run) bool { return r.worker.ID == w.ID })
 }
 
 // removeAllRuns removes all runs of a worker and stops their units.
