--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -97,6 +97,16 @@
 		sim.after(2*sim.orderLatencyMS, func() { send(scheduler.HeldMsg{Result: scheduler.OrderOtherIncarnation}) })
 		return
 	}
+	if delayMS, late := sim.delayHold(f, c); late {
+		sim.after(delayMS, func() {
+			if !f.down {
+				_, result := hold(c)
+				sim.lateResults = append(sim.lateResults, result)
+			}
+		})
+		sim.after(c.WaitMS+requestTimeoutMS, func() { send(scheduler.HeldMsg{Result: scheduler.OrderUnknown, Err: "no answer"}) })
+		return
+	}
 	// receivedBy is the number of crashes before the hold was received. A crash closes the
 	// connections of the holds that wait.
 	receivedBy := 0
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -88,6 +88,11 @@
 	lostAnswerRate float64
 	// lateOrderRate is the fraction of orders that get no answer and are executed late.
 	lateOrderRate float64
+	// lateOrder, if set, decides in place of lateOrderRate which orders get no answer, and
+	// how long after they were sent they are executed.
+	lateOrder func(worker string, c scheduler.Command) (delayMS int64, late bool)
+	// lateResults are the results of the orders that were executed late because of lateOrder.
+	lateResults []scheduler.OrderResult
 	// stored holds the IDs of the requests to the holder that were answered with StoreDone.
 	stored map[uint64]bool
 	// roomGraceMS is how long a capacity still counts after a worker's has shrunk.
@@ -519,12 +524,12 @@
 		sim.workers[c.Worker].handleHold(i, c, sim.workers[c.Worker].hold)
 	case scheduler.StartCmd:
 		f := sim.workers[c.Worker]
-		i.sendOrder(f, func() scheduler.OrderResult { return f.start(c) }, func(r scheduler.OrderResult) scheduler.Msg {
+		i.sendOrder(f, c, func() scheduler.OrderResult { return f.start(c) }, func(r scheduler.OrderResult) scheduler.Msg {
 			return scheduler.StartedMsg{OrderID: c.OrderID, Term: c.Term, Worker: c.Worker, Task: c.Task, Result: r}
 		})
 	case scheduler.StopCmd:
 		f := sim.workers[c.Worker]
-		i.sendOrder(f, func() scheduler.OrderResult { return f.stop(c) }, func(r scheduler.OrderResult) scheduler.Msg {
+		i.sendOrder(f, c, func() scheduler.OrderResult { return f.stop(c) }, func(r scheduler.OrderResult) scheduler.Msg {
 			return scheduler.StoppedMsg{OrderID: c.OrderID, Term: c.Term, Worker: c.Worker, Task: c.Task, Result: r}
 		})
 	}
@@ -556,12 +561,40 @@
 	}
 }
 
+// The shortest and the longest delay of a late order.
+const (
+	minOrderDelayMS = 2000
+	maxOrderDelayMS = 12000
+)
+
+// delayOrder returns whether an order is late, and how long after it was sent it is executed.
+func (sim *simulation) delayOrder(f *fakeWorker, c scheduler.Command) (delayMS int64, late bool) {
+	if sim.lateOrder != nil {
+		return sim.lateOrder(f.id, c)
+	}
+	if sim.rng.Float64() >= sim.lateOrderRate {
+		return 0, false
+	}
+	if f.replaced || f.unreachable || f.down {
+		return 0, true
+	}
+	return minOrderDelayMS + sim.rng.Int64N(maxOrderDelayMS-minOrderDelayMS), true
+}
+
+// delayHold is delayOrder for a hold. Holds are late only if lateOrder says so.
+func (sim *simulation) delayHold(f *fakeWorker, c scheduler.HoldCmd) (delayMS int64, late bool) {
+	if sim.lateOrder == nil || f.down || f.unreachable {
+		return 0, false
+	}
+	return sim.lateOrder(f.id, c)
+}
+
 // sendOrder sends an order to a worker and delivers its answer. An order that is late
 // or that the worker can't receive gets no answer; a late one is still executed, 2 to
 // 12 s after it was sent, by whatever incarnation of the worker then lives.
-func (i *instance) sendOrder(f *fakeWorker, execute func() scheduler.OrderResult, msg func(scheduler.OrderResult) scheduler.Msg) {
+func (i *instance) sendOrder(f *fakeWorker, c scheduler.Command, execute func() scheduler.OrderResult, msg func(scheduler.OrderResult) scheduler.Msg) {
 	sim := i.sim
-	late := sim.rng.Float64() < sim.lateOrderRate
+	delayMS, late := sim.delayOrder(f, c)
 	executeOrder := func(late bool) scheduler.OrderResult {
 		sim.checker.executingLate = late
 		return execute()
@@ -572,7 +605,11 @@
 	}
 	if f.down || f.unreachable || late {
 		if late && !f.unreachable && !f.down {
-			sim.after(2000+sim.rng.Int64N(10000), func() { executeOrder(true) })
+			sim.after(delayMS, func() {
+				if result := executeOrder(true); sim.lateOrder != nil {
+					sim.lateResults = append(sim.lateResults, result)
+				}
+			})
 		}
 		i.reply(requestTimeoutMS, func() scheduler.Msg { return msg(scheduler.OrderUnknown) })
 		return
