Check for starts between a successful end and its confirmation

Cause: the users' rule TWICE counts a start after a run has ended "done" also if that end is taken note of only later, unless the worker's lease lapsed in between. The checker of the simulation saw only starts after the confirmation.

Change: the checker keeps unconfirmed successful ends and reports starts after them when they are confirmed.

--- a/internal/workload/scheduler/checker_test.go
+++ b/internal/workload/scheduler/checker_test.go
@@ -41,7 +41,9 @@
 	// endedDone holds those that ended successfully.
 	confirmedDone map[string]bool
 	endedDone     map[string]bool
-	violations    []string
+	// unconfirmedDone holds, for each worker, the successful ends that it lists.
+	unconfirmedDone map[string][]*doneEnd
+	violations      []string
 	// wastedAcceleratorMS is the accelerator time of runs that did not end successfully.
 	wastedAcceleratorMS int64
 	starts              int
@@ -59,8 +61,17 @@
 	executingLate bool
 }
 
+// doneEnd is a successful end that is not confirmed yet.
+type doneEnd struct {
+	ref scheduler.TaskRef
+	// lapses is how many leases had lapsed on the worker before the end.
+	lapses int
+	// startedMS is when the task was first started after the end, 0 if it was not.
+	startedMS int64
+}
+
 func newInvariantChecker() *invariantChecker {
-	return &invariantChecker{jobs: map[string]*observedJob{}, running: map[string]int{}, confirmedDone: map[string]bool{}, endedDone: map[string]bool{}, crashes: map[string]int{}, startsAfterCrashes: map[string]int{}}
+	return &invariantChecker{unconfirmedDone: map[string][]*doneEnd{}, jobs: map[string]*observedJob{}, running: map[string]int{}, confirmedDone: map[string]bool{}, endedDone: map[string]bool{}, crashes: map[string]int{}, startsAfterCrashes: map[string]int{}}
 }
 
 func (c *invariantChecker) step(ref scheduler.TaskRef) describer.Step {
@@ -137,6 +148,13 @@
 	if c.confirmedDone[key] {
 		c.addViolation("at %d ms: task %s was started after its end was confirmed", now, key)
 	}
+	for _, ends := range c.unconfirmedDone {
+		for _, e := range ends {
+			if c.taskKey(e.ref) == key && e.startedMS == 0 {
+				e.startedMS = now
+			}
+		}
+	}
 	if job.shownCompletedMS > 0 && !c.executingLate {
 		c.addViolation("at %d ms: task %s was started although its job was shown as completed at %d ms", now, key, job.shownCompletedMS)
 	}
@@ -199,6 +217,7 @@
 		return
 	}
 	c.endedDone[key] = true
+	c.unconfirmedDone[f.id] = append(c.unconfirmedDone[f.id], &doneEnd{ref: run.ref, lapses: f.lapses})
 	c.jobs[run.ref.Unit.Job].lastDoneMS = f.sim.nowMS
 }
 
@@ -210,11 +229,21 @@
 	c.wastedAcceleratorMS += (f.sim.nowMS - run.startMS) * int64(c.step(run.ref).Need.Accelerators)
 }
 
-// recordConfirmation records that the holder has confirmed an end.
-func (c *invariantChecker) recordConfirmation(e scheduler.EndReport, _ *fakeWorker) {
-	if e.Kind == scheduler.EndDone && !c.step(e.Task).Perpetual {
-		c.confirmedDone[c.taskKey(e.Task)] = true
+// recordConfirmation records that the holder has confirmed an end. A successful end counts
+// from when it came, unless the worker's lease lapsed before the confirmation.
+func (c *invariantChecker) recordConfirmation(e scheduler.EndReport, f *fakeWorker) {
+	if e.Kind != scheduler.EndDone || c.step(e.Task).Perpetual {
+		return
 	}
+	key := c.taskKey(e.Task)
+	c.confirmedDone[key] = true
+	c.unconfirmedDone[f.id] = slices.DeleteFunc(c.unconfirmedDone[f.id], func(d *doneEnd) bool {
+		confirmed := c.taskKey(d.ref) == key && d.ref.Run == e.Task.Run
+		if confirmed && d.startedMS > 0 && d.lapses == f.lapses {
+			c.addViolation("at %d ms: task %s was started after the end of run %d on worker %s, which was confirmed at %d ms", d.startedMS, key, e.Task.Run, f.id, f.sim.nowMS)
+		}
+		return confirmed
+	})
 }
 
 // mostCrashes returns the largest number of workers that have crashed under a task of the
--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -32,8 +32,10 @@
 	// incarnationStartMS identifies the worker's current incarnation.
 	incarnationStartMS int64
 	fencingToken       uint64
-	// leaseEndMS is when the lease expires, in simulation time.
+	// leaseEndMS is when the lease expires, in simulation time. lapses counts the leases
+	// that have expired.
 	leaseEndMS int64
+	lapses     int
 	runs       map[scheduler.TaskRef]*fakeRun
 	// ends are the ended runs that are not confirmed yet.
 	ends          []scheduler.EndReport
@@ -192,6 +194,7 @@
 
 // expireLease ends all runs after the lease has run out.
 func (f *fakeWorker) expireLease() {
+	f.lapses++
 	for _, run := range f.sortedRuns() {
 		f.endRun(run, scheduler.EndLeaseExpired)
 	}
@@ -357,6 +360,7 @@
 		f.sim.endGang(run.ref, scheduler.EndGangBroken)
 	}
 	f.ends, f.lastEndNumber, f.highestEndedRun, f.fencingToken, f.leaseEndMS = nil, 0, map[string]int{}, 0, 0
+	f.sim.checker.unconfirmedDone[f.id] = nil
 	f.crashes++
 	if f.returnsAsAnother {
 		f.sim.after(backAfterMS, f.replace)
