Let a successor wait for the starts of earlier holders

Cause: a successor did not know which starts of an earlier holder were still on their way. An adopted run that was missing from the first report of its worker was removed at once and its unit placed elsewhere. The worker rejects the old start by the newer term, but not once it has restarted under its ID.

Change: the starts of an adopted unit count as late until 15.5 s after the begin of the term, the longest time for which an earlier holder's start may be sent and executed. So that this concerns few units, a running unit none of whose starts can be executed late is recorded as Settled, with the next renewal of the term. A unit that was being started when the holder changed is not given up: the successor repeats the missing starts of the same run on the same workers, which is safe whatever the earlier holder sent.

TestTaskRunsTwiceAfterHandOver no longer delays starts that are sent after the hand-over: the successor's repetition is none of the starts under test.

Measured: TestTaskRunsTwiceAfterChangeOfHolder, -AfterHandOver and -BehindCutUnderSuccessor and TestTaskIsPlacedBesideStrayRun failed and pass. All other tests of the package pass but for the known red ones; without Settled, TestLostTasksRestartDespiteKilledHolders and two more failed.

--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -184,6 +184,8 @@
 	// earlier versions.
 	Workers      []string `cbor:",omitempty"`
 	Incarnations []int64  `cbor:",omitempty"`
+	// Settled is set once no start of the run that got no answer can be executed any more.
+	Settled bool `cbor:",omitempty"`
 	// Failures counts the runs that failed because of a task itself.
 	Failures   int    `cbor:",omitempty"`
 	Checkpoint string `cbor:",omitempty"`
--- a/internal/workload/scheduler/late_start_test.go
+++ b/internal/workload/scheduler/late_start_test.go
@@ -34,7 +34,7 @@
 	sim.lateOrder = func(worker string, c scheduler.Command) (delayMS int64, late bool) {
 		switch c := c.(type) {
 		case scheduler.StartCmd:
-			if c.Task.Unit.Job == job && c.Task.Member == member && c.Task.Run == 1 && h.sent < max {
+			if c.Task.Unit.Job == job && c.Task.Member == member && c.Task.Run == 1 && h.sent < h.max {
 				h.sent++
 				h.worker = sim.workers[worker]
 				return h.delayMS(), true
@@ -179,6 +179,7 @@
 	sim.submit("render", "a", jobA, independentTasks(1, 8, lateStartWorkMS))
 	sim.run(7500)
 	h.expectStopConfirmed(t)
+	h.max = h.sent
 	sim.holder().send(scheduler.ShutdownMsg{})
 	h.worker.restartAt(10000)
 	h.expectOneRunAtATime(t)
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -12,6 +12,11 @@
 // executed: the platform's longest delay is 12 s, plus the order's own timeout.
 const maxOrderDelayMS = 13000
 
+// predecessorDelayMS is how long after the begin of a term a start of an earlier holder may
+// still be executed: the holder may have decided it on a table that was just recent enough,
+// and sent it just in time.
+const predecessorDelayMS = maxTableAgeMS + maxSendDelayMS + maxOrderDelayMS
+
 // trackLateStart remembers a removed run if a start of it may still reach the worker. The
 // run's unit waits until the start is settled.
 func (m *Model) trackLateStart(r *run) {
@@ -75,6 +80,11 @@
 	return m.now.MonoMS > r.lateStartUntilMS+withDrift(m.cfg.LeaseMS)
 }
 
+// mayStartLate reports whether a start of the unit may still be executed.
+func (m *Model) mayStartLate(u *unit) bool {
+	return u.lateStarts > 0 || slices.ContainsFunc(u.runs, func(r *run) bool { return m.now.MonoMS < r.lateStartUntilMS })
+}
+
 // releaseLateStarts forgets the late starts for which settled returns true, and continues
 // with the units that have waited for them.
 func (m *Model) releaseLateStarts(settled func(*run) bool) {
@@ -90,10 +100,28 @@
 		if u := r.blocked; u != nil {
 			u.lateStarts--
 			m.finishStopping(u)
+			m.passNeeded = true
 		}
 	}
 }
 
+// recordSettledUnits proposes the records of running units whose starts have all been executed
+// or can't be any more, so that a successor need not wait for them. The records go with the
+// renewal of the term.
+func (m *Model) recordSettledUnits() {
+	m.unsettled = slices.DeleteFunc(m.unsettled, func(u *unit) bool {
+		if u.state != unitRunning || u.step.job.ended || u.record.Settled {
+			return true
+		}
+		if m.mayStartLate(u) {
+			return false
+		}
+		u.record.Settled = true
+		m.recordUnit(u)
+		return true
+	})
+}
+
 // lateStartWaitMS returns the time until the unit of a late start waits only for a report of
 // the worker, at most limitMS.
 func (m *Model) lateStartWaitMS(w *worker, limitMS int64) int64 {
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -199,6 +199,8 @@
 	// lateStarts are runs that were removed while their starts could still reach the
 	// workers.
 	lateStarts []*run
+	// unsettled are running units that are not recorded as settled.
+	unsettled []*unit
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -242,7 +242,16 @@
 		if r.state != runAdopted && !answered {
 			continue
 		}
+		if m.mayCompleteStart(r) {
+			r.state = runPlanned
+			m.queueStart(r)
+			continue
+		}
 		m.countCrashBefore(r)
+		if r.state == runAdopted {
+			// This incarnation has seen the term of the hold and rejects earlier ones.
+			r.barredIn = w.incarnation
+		}
 		m.removeRun(r)
 		if r.unit == nil {
 			continue
@@ -252,6 +261,14 @@
 	}
 }
 
+// mayCompleteStart reports whether the holder may start an adopted run that is missing from
+// the worker's report. The run has not ended there, since its end would be listed or its unit
+// recorded as ended; a worker that has stopped it rejects the start.
+func (m *Model) mayCompleteStart(r *run) bool {
+	return r.state == runAdopted && r.unit != nil && r.unit.state == unitStarting && !r.unit.record.Settled &&
+		r.incarnation == r.worker.incarnation && m.schedulable(r.worker) && !m.queue(r.unit.step.job).Advised
+}
+
 // markEndsDurable marks the ends as durable. The holds then confirm them to the workers,
 // which stop reporting them.
 func (m *Model) markEndsDurable(ends []endRef) {
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -258,7 +258,7 @@
 	m.term.takenOverMS, m.term.renewedMS, m.term.renewals, m.term.yieldCount, m.term.staleSinceMS = m.now.MonoMS, m.now.MonoMS, 0, 0, 0
 	m.proposer = proposer{sequence: 1}
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations, m.endedJobs = map[string]*worker{}, nil, map[string]*job{}, nil, nil, nil
-	m.unconfirmedCrashes, m.lateStarts = nil, nil
+	m.unconfirmedCrashes, m.lateStarts, m.unsettled = nil, nil, nil
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.event("TermTaken", "Term", m.term.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
 	m.emit(PollWorkersCmd{On: true})
@@ -275,7 +275,7 @@
 func (m *Model) stepDown(reason string) {
 	m.term.active = false
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations = map[string]*worker{}, nil, map[string]*job{}, nil, nil
-	m.unconfirmedCrashes, m.lateStarts = nil, nil
+	m.unconfirmedCrashes, m.lateStarts, m.unsettled = nil, nil, nil
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.proposer = proposer{}
 	m.orders.Clear()
@@ -292,6 +292,7 @@
 	}
 	m.term.renewedMS = m.now.MonoMS
 	m.term.renewals++
+	m.recordSettledUnits()
 	m.propose(reducer.TermRecord(reducer.Term{Number: m.term.number, Holder: m.cfg.Holder, Renewals: m.term.renewals}))
 }
 
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -97,6 +97,9 @@
 		for i, name := range rec.Workers {
 			r := m.addRun(u, i, m.worker(name), runAdopted)
 			r.adopted = true
+			if !rec.Settled {
+				r.lateStartUntilMS = m.term.takenOverMS + predecessorDelayMS
+			}
 			if i < len(rec.Incarnations) {
 				r.incarnation = rec.Incarnations[i]
 			}
@@ -110,7 +113,7 @@
 // placeUnit records the placement of the unit. Its tasks start once the record is
 // durable.
 func (m *Model) placeUnit(u *unit, workers []*worker) {
-	u.record.Term, u.record.Phase = m.term.number, reducer.PhasePlaced
+	u.record.Term, u.record.Phase, u.record.Settled = m.term.number, reducer.PhasePlaced, false
 	u.record.Run++
 	u.record.Workers, u.record.Incarnations = nil, nil
 	u.failed, u.stopReason, u.runningSinceMS, u.heldBackSinceMS = false, "", 0, 0
@@ -149,6 +152,9 @@
 	}
 	u.setState(unitRunning, m.now.MonoMS)
 	u.runningSinceMS = m.now.MonoMS
+	if !u.record.Settled {
+		m.unsettled = append(m.unsettled, u)
+	}
 	for _, r := range u.runs {
 		r.progress.SetStart(m.now.MonoMS)
 		if u.record.Checkpoint == "" && !r.adopted {
