Don't place a unit beside a run of it that the holder did not order

Cause: a reported run without an order was stopped, but did not belong to its unit. A waiting unit was placed in the next pass, while that run was still stopping.

Change: the unit counts such a run among its late starts until a report no longer shows it. Units with late starts are not placed, and a placement that is still being recorded is taken back.

Measured: TestUnitWaitsForRunThatNobodyOrdered failed ("runs twice at a time, run 1 on worker w0-1") and passes.

--- a/internal/workload/scheduler/late_start_test.go
+++ b/internal/workload/scheduler/late_start_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"daisyhead/internal/workload/reducer"
 	"daisyhead/internal/workload/scheduler"
 )
 
@@ -446,3 +447,27 @@
 		t.Fatalf("at %d ms: the step has not ended", sim.nowMS)
 	}
 }
+
+// TestUnitWaitsForRunThatNobodyOrdered guards against a task that is placed while its worker
+// still stops another run of it: here one that the holder has never heard of.
+func TestUnitWaitsForRunThatNobodyOrdered(t *testing.T) {
+	sim := newSmallFleet(t)
+	sim.closeDomains(map[string]bool{"d0": true, "d1": true, "d2": true})
+	sim.trace = func(_ string, e scheduler.EventCmd) {
+		if e.Name == "StrayRun" {
+			sim.after(1, func() { sim.closeDomains(nil) })
+		}
+	}
+	sim.submit("render", "a", jobA, independentTasks(1, 8, 2000))
+	sim.run(4000)
+	f := sim.workers[sim.workerIDs[0]]
+	ref := scheduler.TaskRef{Unit: reducer.UnitID{Job: jobA}, Run: 7}
+	if result := f.start(scheduler.StartCmd{Task: ref, Term: f.fencingToken, DeadlineMS: f.clockMS() + leaseMS}); result != scheduler.OrderDone {
+		t.Fatalf("the start was answered %s", result)
+	}
+	sim.run(30000)
+	sim.expectNoViolations(t)
+	if got := sim.jobState(jobA); got != reducer.StateCompleted {
+		t.Errorf("the job is %s", got)
+	}
+}
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -263,7 +263,7 @@
 	nodes := m.nodesFor(p, c.step, c.queue)
 	var held *unit
 	for _, u := range c.step.units {
-		if u.state != unitWaiting {
+		if u.state != unitWaiting || u.lateStarts > 0 {
 			continue
 		}
 		if p.startBudget <= 0 {
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -113,10 +113,17 @@
 // stopOrphan stops a reported task for which the holder has no run. It occupies
 // capacity until it has stopped.
 func (m *Model) stopOrphan(w *worker, p RunReport) {
-	r := &run{ref: p.Task, worker: w, state: runStopping}
+	r := &run{ref: p.Task, worker: w, state: runStopping, lateStartUntilMS: m.term.takenOverMS + predecessorDelayMS}
 	if s, ok := m.stepOf(p.Task.Unit); ok {
 		r.need = s.Reserved()
 	}
+	if u := m.unit(p.Task.Unit); u != nil {
+		r.blocked = u
+		u.lateStarts++
+		if u.state == unitRecording {
+			m.stopUnit(u, "another run is still on worker "+w.ID)
+		}
+	}
 	w.runs.add(r)
 	w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
 	state, beside := m.otherRuns(p.Task)
