Reckon with late deadlines on a worker that has restarted

Cause: an order that an earlier incarnation of a worker left unanswered carries a deadline on that incarnation's clock. Executed by the next one, whose clock has started anew, it extends the lease of all that runs there by a whole lease from then on, also if it is a start that is refused or a mere renewal. A worker that was cut off after its restart ran its tasks for longer than the holder waited before it placed them elsewhere.

Change: from a restart on, the holder's bound of the worker's lease reaches the longest delay of an order and a lease further.

Why it works: no order to the earlier incarnation is executed later than that. The bound matters only for a worker that falls silent soon after a restart under its ID.

--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -27,8 +27,9 @@
 	w.incarnation, w.clockMS, w.clockAtMS, w.heardMS = p.IncarnationMS, p.ClockMS, m.now.MonoMS, m.now.MonoMS
 	w.reportAsOfMS = w.holdSentMS
 	if restarted {
-		// What an earlier incarnation was ordered to start may have a lease that began now.
-		w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
+		// Orders that an earlier incarnation left unanswered may still be executed. Their
+		// deadlines, on the clock from before, extend the lease for as long as a lease can.
+		w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+maxOrderDelayMS+withDrift(m.cfg.LeaseMS))
 	}
 	m.barLateStarts(w)
 	present := map[TaskRef]bool{}
