Don't confirm the end of a task that may still start again

Cause: a start without an answer is repeated, and the repetition runs. The first one may be executed when the task is done. The worker rejects it, unless it has restarted under its ID meanwhile: then the task starts after its end was confirmed. Nothing can be sent that keeps a new incarnation from it.

Change: a successful end is not confirmed to its worker while a start of the unit may still be executed. If the worker restarts before, the end goes with it and was never confirmed. A holder that has not seen the run holds the end for as long as an earlier holder's starts may be executed, unless the unit is recorded as settled. The end is recorded, and callers are told, at once as before. The units of cancelled jobs and runs on a worker whose address another one has no longer wait for late starts.

--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -310,6 +310,20 @@
 func runRandomScheduleWithLatency(t *testing.T, seed uint64, orderLatencyMS int64, disturb ...func(*simulation)) {
 	sim := newSimulation(t, seed, 3)
 	sim.orderLatencyMS = orderLatencyMS
+	sim.startRandomSchedule()
+	for _, d := range disturb {
+		d(sim)
+	}
+	sim.run(randomScheduleMS)
+	sim.expectFinalStates(t)
+	sim.expectUsableFleet(t)
+	if diff := cmp.Diff([]string(nil), sim.checker.violations); diff != "" {
+		t.Errorf("invariant violations:\n%s", diff)
+	}
+}
+
+// startRandomSchedule starts a fleet and schedules random jobs and faults.
+func (sim *simulation) startRandomSchedule() {
 	sim.addWorkers(3, 4)
 	sim.traceJob(*tracedJob)
 	sim.startAll()
@@ -322,10 +336,14 @@
 	for range 8 {
 		sim.after(sim.rng.Int64N(30000), sim.injectRandomFault)
 	}
-	for _, d := range disturb {
-		d(sim)
-	}
-	sim.run(150000)
+}
+
+// randomScheduleMS is when all jobs of a random schedule have ended.
+const randomScheduleMS = 150000
+
+// expectFinalStates checks that each job has reached its final state.
+func (sim *simulation) expectFinalStates(t *testing.T) {
+	t.Helper()
 	for id, job := range sim.checker.jobs {
 		want := reducer.StateCompleted
 		switch {
@@ -340,12 +358,14 @@
 			t.Errorf("job %s is %s, want %s", id, got, want)
 		}
 	}
+}
+
+// expectUsableFleet checks that the holder's state is consistent and that it uses all workers.
+func (sim *simulation) expectUsableFleet(t *testing.T) {
+	t.Helper()
 	sim.expectConsistentHolder(t)
 	sim.expectWholeFleetUsable(t, "ffffffffffffffff")
 	sim.expectConsistentHolder(t)
-	if diff := cmp.Diff([]string(nil), sim.checker.violations); diff != "" {
-		t.Errorf("invariant violations:\n%s", diff)
-	}
 }
 
 func (sim *simulation) submitRandomJob(id string) {
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"daisyhead/internal/workload/describer"
@@ -46,7 +47,7 @@
 	}
 	m.removeMissingRuns(w, present)
 	m.checkProgress(w)
-	w.advanceConfirmedEnd()
+	m.advanceConfirmedEnd(w)
 	w.nextHoldMS = m.now.MonoMS + m.nextHoldDelayMS(w)
 	m.hold(w)
 }
@@ -62,7 +63,7 @@
 // nextHoldDelayMS returns the pause before the next hold.
 func (m *Model) nextHoldDelayMS(w *worker) int64 {
 	switch {
-	case len(w.endDurable) > 0:
+	case len(w.ends) > 0:
 		return confirmWaitMS
 	case m.holdWaitMS(w) == 0:
 		return holdIntervalMS
@@ -152,14 +153,18 @@
 
 // handleEnd handles a reported end. Ends that were handled before are ignored.
 func (m *Model) handleEnd(w *worker, e EndReport) {
-	if _, seen := w.endDurable[e.Number]; seen || e.Number <= w.confirmedEnd {
+	if w.ends[e.Number] != nil || e.Number <= w.confirmedEnd {
 		return
 	}
-	w.endDurable[e.Number] = false
+	end := &unconfirmedEnd{}
+	w.ends[e.Number] = end
 	ref := endRef{worker: w, incarnation: w.incarnation, number: e.Number}
 	r := w.runs.get(e.Task)
 	u := m.unit(e.Task.Unit)
 	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind)
+	if e.Kind == EndDone {
+		m.holdEnd(end, r, u)
+	}
 	if r != nil {
 		m.recordDuration(r, e.Kind)
 		r.barredIn = w.incarnation
@@ -284,29 +289,52 @@
 		if e.worker.incarnation != e.incarnation {
 			continue
 		}
-		if _, ok := e.worker.endDurable[e.number]; ok {
-			e.worker.endDurable[e.number] = true
-			e.worker.advanceConfirmedEnd()
-			if len(e.worker.endDurable) == 0 {
+		if end := e.worker.ends[e.number]; end != nil {
+			end.durable = true
+			m.advanceConfirmedEnd(e.worker)
+			if len(e.worker.ends) == 0 {
 				e.worker.expediteHold(m.now.MonoMS)
 			}
 		}
 	}
 }
 
-// advanceConfirmedEnd advances confirmedEnd to the last end before the first one that is
-// not durable.
-func (w *worker) advanceConfirmedEnd() {
-	numbers := make([]int64, 0, len(w.endDurable))
-	for n := range w.endDurable {
-		numbers = append(numbers, n)
-	}
-	slices.Sort(numbers)
-	for _, n := range numbers {
-		if !w.endDurable[n] {
+// unconfirmedEnd is a reported end that the worker lists until it is confirmed.
+type unconfirmedEnd struct {
+	durable bool
+	// unit is the unit that the end completes. The end is not confirmed while starts of the
+	// unit may be executed: a run that starts after a confirmed end runs the work again.
+	unit *unit
+	// notBeforeMS is the earliest time of the confirmation.
+	notBeforeMS int64
+}
+
+// holdEnd keeps a successful end from being confirmed as long as the unit may start again. A
+// holder that has not seen the run doesn't know whether its predecessors left starts
+// unanswered.
+func (m *Model) holdEnd(end *unconfirmedEnd, r *run, u *unit) {
+	if u != nil && u.step.spec.Perpetual {
+		return
+	}
+	end.unit = u
+	if r == nil && (u == nil || !u.record.Settled) {
+		end.notBeforeMS = m.term.takenOverMS + predecessorDelayMS
+	}
+}
+
+// confirmable reports whether the worker may forget the end.
+func (m *Model) confirmable(e *unconfirmedEnd) bool {
+	return e.durable && m.now.MonoMS >= e.notBeforeMS && (e.unit == nil || !m.mayStartLate(e.unit))
+}
+
+// advanceConfirmedEnd advances confirmedEnd to the last end before the first one that can't
+// be confirmed yet.
+func (m *Model) advanceConfirmedEnd(w *worker) {
+	for _, n := range slices.Sorted(maps.Keys(w.ends)) {
+		if !m.confirmable(w.ends[n]) {
 			return
 		}
 		w.confirmedEnd = max(w.confirmedEnd, n)
-		delete(w.endDurable, n)
+		delete(w.ends, n)
 	}
 }
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -47,6 +47,8 @@
 	runs []*run
 	// lateStarts counts removed runs whose starts may still be executed.
 	lateStarts int
+	// awaiting is set once the unit waits only for its late starts.
+	awaiting bool
 	// pendingEnds are reported ends that are not durable yet.
 	pendingEnds []endRef
 	// failed is set once a task of the current run has failed by itself.
@@ -74,7 +76,7 @@
 	if s == unitWaiting {
 		u.step.waitingUnits++
 	}
-	u.state, u.stateSinceMS = s, atMS
+	u.state, u.stateSinceMS, u.awaiting = s, atMS, false
 }
 
 // adoptUnit restores a unit from its record. Its tasks may already be running.
@@ -227,7 +229,7 @@
 	if m.giveUpIfCrashing(u) {
 		return
 	}
-	if u.lateStarts > 0 {
+	if u.lateStarts > 0 && !u.step.job.cancelled {
 		m.awaitLateStarts(u)
 		return
 	}
@@ -245,6 +247,10 @@
 	if len(u.pendingEnds) > 0 {
 		m.recordUnit(u)
 	}
+	if u.awaiting {
+		return
+	}
+	u.awaiting = true
 	m.event("UnitAwaitsStarts", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "Reason", u.stopReason)
 	m.finishCancel(u.step.job)
 }
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -60,8 +60,8 @@
 
 	health workerHealth
 	runs   runList
-	// endDurable tells for each unconfirmed end whether it is durable.
-	endDurable map[int64]bool
+	// ends are the reported ends that the worker has not been told to forget.
+	ends map[int64]*unconfirmedEnd
 	// confirmedEnd is the number up to which all ends are durable. Holds tell it to the
 	// worker.
 	confirmedEnd int64
@@ -72,7 +72,7 @@
 func (m *Model) worker(id string) *worker {
 	w, ok := m.workers[id]
 	if !ok {
-		w = &worker{Worker: describer.Worker{ID: id}, endDurable: map[int64]bool{}}
+		w = &worker{Worker: describer.Worker{ID: id}, ends: map[int64]*unconfirmedEnd{}}
 		w.unreachedSinceMS = m.unreachedSince(id)
 		w.leaseEndMS = w.unreachedSinceMS + maxConfirmationAgeMS + withDrift(m.cfg.LeaseMS)
 		m.workers[id] = w
@@ -259,8 +259,11 @@
 func (m *Model) loseReplacedWorker(w *worker) {
 	m.countCrash(w, true, nil)
 	m.resolveCrashes(w.ID, 0)
-	m.removeAllRuns(w, "another incarnation of the worker answered")
 	// The worker that now has the address rejects orders for the former one.
+	for _, r := range w.runs.list {
+		r.startInFlight, r.lateStartUntilMS = false, 0
+	}
+	m.removeAllRuns(w, "another incarnation of the worker answered")
 	m.releaseLateStarts(func(r *run) bool { return r.worker.ID == w.ID })
 }
 
@@ -292,7 +295,7 @@
 	if w.runs.len() > 0 {
 		m.event("WorkerLost", "Worker", w.ID, "Runs", w.runs.len(), "Reason", reason)
 	}
-	w.answered, w.confirmedEnd, w.endDurable = false, 0, map[int64]bool{}
+	w.answered, w.confirmedEnd, w.ends = false, 0, map[int64]*unconfirmedEnd{}
 	runs := w.runs.snapshot()
 	for _, r := range runs {
 		if gone(r) {
