Let the simulation delay holds, lose answers and suspend processes

The simulated platform knew late starts and stops but no late holds, and a hold that waited at a worker extended the lease and confirmed ends once more when it was answered. A suspension counted on the monotonic clock of the process. An end counted as confirmed although the lease had expired before the confirmation.

Holds may now be executed late, answers of orders be lost, stops take random times, workers' clocks drift and be reachable for one instance only. The monotonic clock of a suspended process stands still.

All is off unless a test asks for it.

--- a/internal/workload/scheduler/checker_test.go
+++ b/internal/workload/scheduler/checker_test.go
@@ -236,14 +236,16 @@
 		return
 	}
 	key := c.taskKey(e.Task)
-	c.confirmedDone[key] = true
+	counts := true
 	c.unconfirmedDone[f.id] = slices.DeleteFunc(c.unconfirmedDone[f.id], func(d *doneEnd) bool {
 		confirmed := c.taskKey(d.ref) == key && d.ref.Run == e.Task.Run
+		counts = counts && (!confirmed || d.lapses == f.lapses)
 		if confirmed && d.startedMS > 0 && d.lapses == f.lapses {
 			c.addViolation("at %d ms: task %s was started after the end of run %d on worker %s, which was confirmed at %d ms", d.startedMS, key, e.Task.Run, f.id, f.sim.nowMS)
 		}
 		return confirmed
 	})
+	c.confirmedDone[key] = c.confirmedDone[key] || counts
 }
 
 // mostCrashes returns the largest number of workers that have crashed under a task of the
--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -71,6 +71,16 @@
 	stoppedTasks int
 	// resizes are the earlier capacities of the worker.
 	resizes []resize
+	// answersLost is set while the worker gets orders but none of its answers arrive.
+	answersLost bool
+	// reachedBy, if set, is the only instance that reaches the worker.
+	reachedBy *instance
+	// hiddenFrom, if set, is an instance that does not reach the worker.
+	hiddenFrom *instance
+	// clockRate is the speed of the worker's clock; 0 counts as 1.
+	clockRate float64
+	// lateExecuted counts the orders and holds that were executed late.
+	lateExecuted int
 }
 
 // taskKey identifies a task on a worker, independent of its run.
@@ -80,7 +90,21 @@
 }
 
 // clockMS returns the worker's clock, which starts anew with each incarnation.
-func (f *fakeWorker) clockMS() int64 { return f.sim.nowMS - f.incarnationStartMS + 1000 }
+func (f *fakeWorker) clockMS() int64 {
+	return int64(float64(f.sim.nowMS-f.incarnationStartMS)*f.rate()) + 1000
+}
+
+// unreachableFrom reports whether the instance can't reach the worker.
+func (f *fakeWorker) unreachableFrom(i *instance) bool {
+	return f.unreachable || i.cutOff || f.reachedBy != nil && f.reachedBy != i || f.hiddenFrom != nil && f.hiddenFrom == i
+}
+
+func (f *fakeWorker) rate() float64 {
+	if f.clockRate == 0 {
+		return 1
+	}
+	return f.clockRate
+}
 
 // handleHold answers a hold at once if ends are listed or the hold does not wait, and
 // otherwise when a task ends or the wait is over. A hold without an answer fails after
@@ -113,11 +137,13 @@
 	// connections of the holds that wait.
 	receivedBy := 0
 	answer := func() {
-		if answered || f.down || f.unreachable || f.crashes != receivedBy {
+		if answered || f.down || f.unreachableFrom(i) || f.answersLost || f.crashes != receivedBy {
 			return
 		}
 		answered = true
-		report, result := hold(c)
+		query := c
+		query.DeadlineMS, query.ConfirmedEnd = 0, 0
+		report, result := hold(query)
 		sim.after(sim.orderLatencyMS, func() { send(scheduler.HeldMsg{Result: result, Report: report}) })
 	}
 	sim.after(c.WaitMS+requestTimeoutMS, func() {
@@ -126,8 +152,19 @@
 			send(scheduler.HeldMsg{Result: scheduler.OrderUnknown, Err: "no answer"})
 		}
 	})
+	if sim.lateHoldRate > 0 && sim.rng.Float64() < sim.lateHoldRate {
+		if !f.down && !f.unreachableFrom(i) {
+			sim.after(2000+sim.rng.Int64N(10000), func() {
+				if !f.down && !f.replaced && c.Term >= f.fencingToken {
+					hold(c)
+					f.lateExecuted++
+				}
+			})
+		}
+		return
+	}
 	sim.after(sim.orderLatencyMS, func() {
-		if f.down || f.unreachable {
+		if f.down || f.unreachableFrom(i) {
 			return
 		}
 		receivedBy = f.crashes
@@ -183,7 +220,7 @@
 	if deadline == 0 {
 		return
 	}
-	f.leaseEndMS = max(f.leaseEndMS, min(deadline-1000+f.incarnationStartMS, f.sim.nowMS+leaseMS))
+	f.leaseEndMS = max(f.leaseEndMS, f.sim.nowMS+int64(float64(min(deadline-f.clockMS(), leaseMS))/f.rate()))
 	endMS := f.leaseEndMS
 	f.sim.after(endMS-f.sim.nowMS+1, func() {
 		if f.leaseEndMS <= endMS {
@@ -271,7 +308,11 @@
 		return scheduler.OrderDone
 	}
 	run.stopping = true
-	f.sim.after(stopDurationMS, func() {
+	durationMS := int64(stopDurationMS)
+	if f.sim.maxStopMS > 0 {
+		durationMS = f.sim.rng.Int64N(f.sim.maxStopMS)
+	}
+	f.sim.after(durationMS, func() {
 		if f.runs[c.Task] == run {
 			f.stoppedTasks++
 			f.endRun(run, scheduler.EndStopped)
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -76,7 +76,9 @@
 	// order that takes longer than requestTimeoutMS is executed but gets no answer.
 	orderCongestionMS float64
 	ordersInFlight    int
-	unansweredOrders  int
+	// maxLatencyMS, if set, bounds the latency of an order.
+	maxLatencyMS     int64
+	unansweredOrders int
 	// passMS is how long each scheduling pass takes.
 	passMS int64
 	passes int
@@ -93,6 +95,12 @@
 	lateOrder func(worker string, c scheduler.Command) (delayMS int64, late bool)
 	// lateResults are the results of the orders that were executed late because of lateOrder.
 	lateResults []scheduler.OrderResult
+	// lateHoldRate is the fraction of holds that get no answer and are executed late.
+	lateHoldRate float64
+	// lostOrderRate is the fraction of starts and stops that are executed but not answered.
+	lostOrderRate float64
+	// maxStopMS, if set, bounds the random duration of a stop.
+	maxStopMS int64
 	// stored holds the IDs of the requests to the holder that were answered with StoreDone.
 	stored map[uint64]bool
 	// roomGraceMS is how long a capacity still counts after a worker's has shrunk.
@@ -266,6 +274,13 @@
 	// ledgerUnreachable is set while this instance can't reach the ledger or the list of
 	// workers.
 	ledgerUnreachable bool
+	// cutOff is set while this instance can't reach the workers.
+	cutOff bool
+	// suspendedMS is for how long the process was suspended. The monotonic clock does not
+	// count that time.
+	suspendedMS int64
+	// wallOffsetMS is how far the wall clock is ahead.
+	wallOffsetMS int64
 	// readsFail is set while this instance can't read the ledger but can append to it.
 	readsFail bool
 	model     *scheduler.Model
@@ -289,7 +304,7 @@
 func (i *instance) start() {
 	i.incarnation++
 	i.alive, i.loaded, i.loading, i.pollsWorkers, i.backlog = true, false, false, false, nil
-	i.startMS = i.sim.nowMS
+	i.startMS, i.suspendedMS = i.sim.nowMS, 0
 	i.model = scheduler.New(scheduler.Config{
 		Instance: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.incarnation), Power: i.power,
 		LeaseMS: leaseMS, GangMS: gangTimeoutMS, StopMS: stopDurationMS, RetainMS: 600000,
@@ -346,12 +361,27 @@
 		i.backlog = append(i.backlog, func() { i.send(msg) })
 		return
 	}
-	at := scheduler.Instant{MonoMS: i.sim.nowMS - i.startMS, WallMS: wallStartMS + i.sim.nowMS}
+	at := scheduler.Instant{MonoMS: i.monoMS(), WallMS: wallStartMS + i.sim.nowMS + i.wallOffsetMS}
 	for _, c := range i.model.Update(at, msg) {
 		i.execute(c)
 	}
 }
 
+// monoMS returns the time on the process's monotonic clock.
+func (i *instance) monoMS() int64 { return i.sim.nowMS - i.startMS - i.suspendedMS }
+
+// suspend lets the process stand still for a time that its monotonic clock does not count.
+func (i *instance) suspend(forMS int64) {
+	i.frozen = true
+	incarnation := i.incarnation
+	i.sim.after(forMS, func() {
+		if i.incarnation == incarnation {
+			i.suspendedMS += forMS
+			i.thaw()
+		}
+	})
+}
+
 // thaw ends a freeze and delivers the messages that arrived meanwhile.
 func (i *instance) thaw() {
 	i.frozen = false
@@ -370,7 +400,7 @@
 		i.send(scheduler.LedgerFailedMsg{Err: "the ledger is unreachable"})
 		return otherReadIntervalMS
 	}
-	mono := i.sim.nowMS - i.startMS
+	mono := i.monoMS()
 	if !i.loaded && i.loadMS > 0 && !i.loading {
 		i.loading, i.unitsAsOf, i.loadSentMS = true, len(l.records), mono
 		return i.loadMS
@@ -422,7 +452,7 @@
 			}
 		}
 		i.send(scheduler.ListedMsg{Workers: list})
-		i.send(scheduler.ListReadMsg{AsOfMS: i.sim.nowMS - i.startMS})
+		i.send(scheduler.ListReadMsg{AsOfMS: i.monoMS()})
 	}
 	return 300
 }
@@ -489,7 +519,7 @@
 			return scheduler.ProbedMsg{Term: c.Term, TookMS: sim.ledger.appendMS()}
 		})
 	case scheduler.AdviseCmd:
-		asked := sim.nowMS - i.startMS
+		asked := i.monoMS()
 		i.reply(sim.orderLatencyMS, func() scheduler.Msg {
 			msg := scheduler.AdvisedMsg{Step: c.Step, Workers: c.Workers, AskedMS: asked, ValidMS: permitValidityMS}
 			for _, id := range c.Workers {
@@ -603,10 +633,12 @@
 		i.reply(2*sim.orderLatencyMS, func() scheduler.Msg { return msg(scheduler.OrderOtherIncarnation) })
 		return
 	}
-	if f.down || f.unreachable || late {
-		if late && !f.unreachable && !f.down {
+	if f.down || f.unreachableFrom(i) || late {
+		if late && !f.unreachableFrom(i) && !f.down {
 			sim.after(delayMS, func() {
-				if result := executeOrder(true); sim.lateOrder != nil {
+				result := executeOrder(true)
+				f.lateExecuted++
+				if sim.lateOrder != nil {
 					sim.lateResults = append(sim.lateResults, result)
 				}
 			})
@@ -617,7 +649,10 @@
 	incarnation := i.incarnation
 	sim.ordersInFlight++
 	latencyMS := sim.orderLatencyMS + int64(sim.orderCongestionMS*float64(sim.ordersInFlight))
-	lost := latencyMS > requestTimeoutMS
+	if sim.maxLatencyMS > 0 {
+		latencyMS = min(latencyMS, sim.maxLatencyMS)
+	}
+	lost := latencyMS > requestTimeoutMS || f.answersLost || sim.lostOrderRate > 0 && sim.rng.Float64() < sim.lostOrderRate
 	send := func(result scheduler.OrderResult) {
 		if i.incarnation == incarnation {
 			i.send(msg(result))
