Age the answers that a suspended holder reads when it resumes

Neither a late order nor a restart of a worker is needed.

Cause: the monotonic clock does not count a suspension of the machine. The holder noticed it by the wall clock and aged its table, the list of workers and the last confirmation of its term, but not what was in flight: the answer to an append or a read from before then counted as new, and the holder went on extending leases for four seconds beyond what a successor waits. A wall clock that was set back meanwhile hid the suspension altogether. Class: a permission whose age is measured by a clock that stands still.

Change: each step of the loop reads the clock that counts suspensions (CLOCK_BOOTTIME); the wall clock stays as a second sign. What was sent before a jump is aged by it when the answer arrives.

--- a/internal/workload/scheduler/loop.go
+++ b/internal/workload/scheduler/loop.go
@@ -20,7 +20,9 @@
 	dispatcher Dispatcher
 	inbox      chan Msg
 	start      time.Time
-	done       chan struct{}
+	// bootAtStart is the time since boot at start, including suspensions.
+	bootAtStart time.Duration
+	done        chan struct{}
 	// slowReported is when a slow step was last logged.
 	slowReported time.Time
 }
@@ -38,7 +40,7 @@
 
 // NewLoop returns a loop that is not running yet. Monotonic times count from start.
 func NewLoop(m *Model, start time.Time) *Loop {
-	return &Loop{model: m, inbox: make(chan Msg, inboxSize), start: start, done: make(chan struct{})}
+	return &Loop{model: m, inbox: make(chan Msg, inboxSize), start: start, bootAtStart: sinceBoot() - time.Since(start), done: make(chan struct{})}
 }
 
 // Run handles messages until the context is cancelled.
@@ -60,8 +62,9 @@
 }
 
 func (l *Loop) step(msg Msg) {
+	boot := sinceBoot()
 	now := time.Now()
-	at := Instant{MonoMS: now.Sub(l.start).Milliseconds(), WallMS: now.UnixMilli()}
+	at := Instant{MonoMS: now.Sub(l.start).Milliseconds(), WallMS: now.UnixMilli(), SuspendedMS: (boot - l.bootAtStart - now.Sub(l.start)).Milliseconds()}
 	passed := l.dispatch(l.model.Update(at, msg))
 	took := time.Since(now)
 	if passed {
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -13,6 +13,9 @@
 type Instant struct {
 	MonoMS int64
 	WallMS int64
+	// SuspendedMS is for how long the machine has been suspended since the start of the
+	// process. MonoMS does not count that time.
+	SuspendedMS int64
 }
 
 // TickMsg triggers the work that depends on time.
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -164,6 +164,11 @@
 
 	cfg Config
 	now Instant
+	// clockJumps are what the monotonic clock has not counted, in the order of their
+	// detection.
+	clockJumps []clockJump
+	// suspendedMS is the time of suspension that they account for.
+	suspendedMS int64
 
 	// loaded is set once the table has been loaded from the ledger.
 	loaded bool
@@ -264,18 +269,50 @@
 }
 
 // advanceClock sets the current time. After a suspension that the monotonic clock did
-// not count, the table and the last confirmation of the term are older than they seem.
+// not count, the table and the last confirmation of the term are older than they seem, also
+// those that answers in flight will bring. A step of the wall clock may hide a suspension or
+// look like one.
 func (m *Model) advanceClock(at Instant) {
-	ahead := (at.WallMS - at.MonoMS) - (m.now.WallMS - m.now.MonoMS)
-	jumped := m.now != Instant{} && ahead > clockJumpMS
+	first := m.now == Instant{}
+	if first {
+		m.suspendedMS = at.SuspendedMS
+	}
+	suspended := at.SuspendedMS - m.suspendedMS
+	ahead := max(suspended, (at.WallMS-at.MonoMS)-(m.now.WallMS-m.now.MonoMS))
 	m.now = at
-	if !jumped {
+	if first || ahead <= clockJumpMS {
 		return
 	}
+	if suspended > clockJumpMS {
+		m.suspendedMS = at.SuspendedMS
+	}
+	m.clockJumps = append(m.clockJumps, clockJump{seenMS: at.MonoMS, aheadMS: ahead})
+	if len(m.clockJumps) > maxClockJumps {
+		m.clockJumps = m.clockJumps[1:]
+	}
 	m.tableAsOfMS -= ahead
 	m.listAsOfMS -= ahead
 	m.proposer.confirmedMS -= ahead
-	m.event("ClockJumped", "AheadMS", ahead)
+	m.proposer.sentMS -= ahead
+	m.event("ClockJumped", "AheadMS", ahead, "SuspendedMS", suspended)
+}
+
+// maxClockJumps is how many jumps are remembered: more than a message in flight can miss.
+const maxClockJumps = 16
+
+// clockJump is an advance of time that the monotonic clock did not count.
+type clockJump struct{ seenMS, aheadMS int64 }
+
+// agedMS returns a monotonic time that was read earlier, brought forward by what the clock
+// has not counted since.
+func (m *Model) agedMS(atMS int64) int64 {
+	aged := atMS
+	for _, j := range m.clockJumps {
+		if atMS <= j.seenMS {
+			aged -= j.aheadMS
+		}
+	}
+	return aged
 }
 
 func (m *Model) handle(msg Msg) {
@@ -293,7 +330,7 @@
 	case ListedMsg:
 		m.handleListed(msg)
 	case ListReadMsg:
-		m.listAsOfMS = max(m.listAsOfMS, msg.AsOfMS)
+		m.listAsOfMS = max(m.listAsOfMS, m.agedMS(msg.AsOfMS))
 	case ClaimedMsg:
 		m.handleClaimed(msg)
 	case PassTookMsg:
@@ -404,7 +441,7 @@
 		m.observeRecord(r)
 	}
 	if msg.CaughtUp {
-		m.tableAsOfMS = max(m.tableAsOfMS, msg.AsOfMS)
+		m.tableAsOfMS = max(m.tableAsOfMS, m.agedMS(msg.AsOfMS))
 	}
 	m.syncTerm()
 }
@@ -430,7 +467,7 @@
 	if m.loaded && msg.Table.Next <= m.Table.Next {
 		return
 	}
-	m.Table, m.loaded, m.tableAsOfMS = msg.Table, true, max(m.tableAsOfMS, msg.AsOfMS)
+	m.Table, m.loaded, m.tableAsOfMS = msg.Table, true, max(m.tableAsOfMS, m.agedMS(msg.AsOfMS))
 	m.term.silentSinceMS = m.now.MonoMS
 	for worker := range m.Table.Unreached {
 		m.unreachedReadMS[worker] = m.now.MonoMS
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -361,7 +361,7 @@
 		i.backlog = append(i.backlog, func() { i.send(msg) })
 		return
 	}
-	at := scheduler.Instant{MonoMS: i.monoMS(), WallMS: wallStartMS + i.sim.nowMS + i.wallOffsetMS}
+	at := scheduler.Instant{MonoMS: i.monoMS(), WallMS: wallStartMS + i.sim.nowMS + i.wallOffsetMS, SuspendedMS: i.suspendedMS}
 	for _, c := range i.model.Update(at, msg) {
 		i.execute(c)
 	}
