Count a lease from when an order with an old clock's deadline is executed

Cause: a start that is answered may have been executed by a new incarnation of the worker, before the holder learned of the restart. Its deadline lies far ahead on the new clock, so the lease takes its longest time from the execution, up to an order's time limit after the holder's reckoning began.

Change: the bound of a worker's lease includes that time.

Measured: TestStartReachesNextLifeWithOldClock failed and passes.

--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -131,6 +131,9 @@
 	// silentAfterMS is the time without an answer after which a worker counts as silent
 	// and gets no new tasks: one hold and a retry.
 	silentAfterMS = 3500
+	// maxOrderWayMS is the longest time after which an order that is answered was executed:
+	// the time for which its sender waits.
+	maxOrderWayMS = 300
 	// orderRetryMS is the pause before an unanswered order or append is sent again.
 	orderRetryMS = 150
 	// workerCooldownMS is how long a worker gets no new tasks after it refused or did
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -218,7 +218,9 @@
 // updates when the worker's leases have certainly expired.
 func (m *Model) grantLease(w *worker) int64 {
 	deadline := w.clockMS + m.now.MonoMS - w.clockAtMS + m.cfg.LeaseMS
-	w.leaseEndMS = max(w.leaseEndMS, w.clockAtMS+withDrift(deadline-w.clockMS))
+	// If the worker has restarted, the deadline lies far ahead on its new clock, and the lease
+	// takes its longest time from when the order is executed.
+	w.leaseEndMS = max(w.leaseEndMS, w.clockAtMS+withDrift(deadline-w.clockMS), m.now.MonoMS+maxOrderWayMS+withDrift(m.cfg.LeaseMS))
 	return deadline
 }
 
