Keep late confirmations from the ends of a worker's next life

Cause: a hold confirms ends by their numbers, which start anew when the worker restarts. A hold that its earlier life left unanswered may be executed seconds later; the new life then forgets ends that the holder has never seen. The run seems to be gone and is started again after its confirmed end.

Change: a hold carries a confirmation only until one with it was answered. A worker that has restarted in place gets no new tasks until unanswered confirmations can't be executed any more, and its entry is kept until then.

What remains is a worker that restarts between two holds so fast that no hold fails (TestConfirmationOutlivesQuickRestart, restarts of 10 ms).

--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -24,6 +24,9 @@
 		m.resolveCrashes(w.ID, p.IncarnationMS)
 	}
 	w.answered, w.answeredInTerm, w.holdFailures = true, true, 0
+	if !restarted {
+		w.confirmationAnswered = max(w.confirmationAnswered, w.confirmingEnd)
+	}
 	m.proposeReached(w)
 	w.incarnation, w.clockMS, w.clockAtMS, w.heardMS = p.IncarnationMS, p.ClockMS, m.now.MonoMS, m.now.MonoMS
 	w.reportAsOfMS = w.holdSentMS
@@ -31,6 +34,9 @@
 		// Orders that an earlier incarnation left unanswered may still be executed. Their
 		// deadlines, on the clock from before, extend the lease for as long as a lease can.
 		w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+maxOrderDelayMS+withDrift(m.cfg.LeaseMS))
+		// A late confirmation would make this incarnation forget ends by the numbers of an
+		// earlier one, so no task may end here until then.
+		w.cooldownUntilMS = max(w.cooldownUntilMS, w.lateConfirmationUntilMS)
 	}
 	m.barLateStarts(w)
 	present := map[TaskRef]bool{}
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -65,6 +65,11 @@
 	// confirmedEnd is the number up to which all ends are durable. Holds tell it to the
 	// worker.
 	confirmedEnd int64
+	// confirmingEnd is the confirmation that the hold in flight carries, confirmationAnswered
+	// the highest one that was answered.
+	confirmingEnd, confirmationAnswered int64
+	// lateConfirmationUntilMS is until when an unanswered confirmation may be executed.
+	lateConfirmationUntilMS int64
 }
 
 // worker returns the worker with the ID, and creates it if it is not known. A worker that
@@ -135,7 +140,7 @@
 			m.countCrash(w, false, nil)
 			m.removeAllRuns(w, "its lease expired without an answer")
 		}
-		if !m.listedRecently(w) && w.runs.len() == 0 && !w.holdInFlight {
+		if !m.listedRecently(w) && w.runs.len() == 0 && !w.holdInFlight && m.now.MonoMS >= w.lateConfirmationUntilMS {
 			m.removeWorker(w)
 			continue
 		}
@@ -184,11 +189,15 @@
 	w.holdSequence++
 	cmd := HoldCmd{OrderID: orderID, Worker: w.ID, Address: w.Address, Sequence: w.holdSequence, Term: m.term.number}
 	if w.answered && w.holdFailures == 0 {
-		cmd.ConfirmedEnd, cmd.WaitMS = w.confirmedEnd, m.holdWaitMS(w)
+		cmd.WaitMS = m.holdWaitMS(w)
+		if w.confirmedEnd > w.confirmationAnswered {
+			cmd.ConfirmedEnd = w.confirmedEnd
+		}
 		if m.termConfirmed() && w.runs.len() > 0 && !w.unreachedRecorded {
 			cmd.DeadlineMS = m.grantLease(w)
 		}
 	}
+	w.confirmingEnd = cmd.ConfirmedEnd
 	m.emit(cmd)
 }
 
@@ -250,6 +259,9 @@
 // maxHoldPauseMS.
 func (m *Model) handleHoldFailure(w *worker, err string) {
 	w.holdFailures++
+	if w.confirmingEnd > 0 {
+		w.lateConfirmationUntilMS = w.holdSentMS + maxOrderDelayMS
+	}
 	w.nextHoldMS = m.now.MonoMS + min(int64(orderRetryMS)<<min(w.holdFailures, 4), maxHoldPauseMS)
 	if w.holdFailures == 1 {
 		m.event("WorkerSilent", "Worker", w.ID, "Runs", w.runs.len(), "Error", err)
@@ -265,6 +277,7 @@
 	for _, r := range w.runs.list {
 		r.startInFlight, r.lateStartUntilMS = false, 0
 	}
+	w.lateConfirmationUntilMS = 0
 	m.removeAllRuns(w, "another incarnation of the worker answered")
 	m.releaseLateStarts(func(r *run) bool { return r.worker.ID == w.ID })
 }
@@ -297,7 +310,7 @@
 	if w.runs.len() > 0 {
 		m.event("WorkerLost", "Worker", w.ID, "Runs", w.runs.len(), "Reason", reason)
 	}
-	w.answered, w.confirmedEnd, w.ends = false, 0, map[int64]*unconfirmedEnd{}
+	w.answered, w.confirmedEnd, w.confirmationAnswered, w.ends = false, 0, 0, map[int64]*unconfirmedEnd{}
 	runs := w.runs.snapshot()
 	for _, r := range runs {
 		if gone(r) {
