Wait for late starts of a run that is lost with its worker

Cause: a start is repeated, and the repetition runs. The worker is cut off and restarts behind the cut, where the first start is executed late, with a lease of its own. When the holder gave the run up, the time in which that start may be executed had passed, so the unit was placed at once, although nothing had been heard of the worker since.

Change: a removed run is remembered unless its starts are settled: by a report that was requested after that time, or by a lease more.

--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -23,7 +23,7 @@
 	if r.startInFlight {
 		r.lateStartUntilMS = max(r.lateStartUntilMS, r.orderSentMS+maxOrderDelayMS)
 	}
-	if r.blocked == nil && m.now.MonoMS >= r.lateStartUntilMS {
+	if r.blocked == nil && (r.lateStartUntilMS == 0 || m.lateStartSettled(r)) {
 		return
 	}
 	if r.unit != nil {
