Don't take runs for lost whose ends may not fit into a report

Cause: a worker lists 500 ends at a time. Since an end whose task may start again is not confirmed, ends may pile up behind it, and the runs whose ends were not listed yet were taken for lost.

Change: a report with that many ends says nothing about runs that it lacks.

--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -81,6 +81,8 @@
 	clockRate float64
 	// lateExecuted counts the orders and holds that were executed late.
 	lateExecuted int
+	// maxListedEnds, if set, bounds the ends in one report. The oldest come first.
+	maxListedEnds int
 }
 
 // taskKey identifies a task on a worker, independent of its run.
@@ -195,6 +197,9 @@
 		return false
 	})
 	report = scheduler.WorkerReport{IncarnationMS: f.incarnationStartMS, ClockMS: f.clockMS(), Ended: slices.Clone(f.ends)}
+	if f.maxListedEnds > 0 {
+		report.Ended = report.Ended[:min(len(report.Ended), f.maxListedEnds)]
+	}
 	for _, run := range f.runs {
 		report.Running = append(report.Running, scheduler.RunReport{Task: workerRef(run.ref), Percent: int(100 * f.progressMS(run) / max(run.totalWorkMS, 1))})
 	}
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -51,7 +51,9 @@
 		present[r.Task] = true
 		m.handleRunning(w, r)
 	}
-	m.removeMissingRuns(w, present)
+	if len(p.Ended) < maxReportedEnds {
+		m.removeMissingRuns(w, present)
+	}
 	m.checkProgress(w)
 	m.advanceConfirmedEnd(w)
 	w.nextHoldMS = m.now.MonoMS + m.nextHoldDelayMS(w)
@@ -247,6 +249,10 @@
 	}
 }
 
+// maxReportedEnds is how many ends a worker reports at a time. In such a report, a run that is
+// missing may have ended too.
+const maxReportedEnds = 500
+
 // removeMissingRuns removes runs that are missing from a report that should contain them:
 // the report was requested after the worker's last definite answer about the run, or the
 // run was adopted. A report that was requested in the same millisecond in which that
