Don't confirm the end of the last attempt of a task that may start again

Cause: only successful ends waited for the late starts of their unit.

Change: the end of the last attempt waits like a successful one.

Measured: TestFailedTaskStartsAgainAfterRestart failed on (4 starts of 3 allowed) and passes.

--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -170,7 +170,7 @@
 	r := w.runs.get(e.Task)
 	u := m.unit(e.Task.Unit)
 	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind)
-	if e.Kind == EndDone {
+	if e.Kind == EndDone || e.Kind == EndFailed && m.lastAttempt(u) {
 		m.holdEnd(end, r, u)
 	}
 	if r != nil {
@@ -197,6 +197,11 @@
 	}
 }
 
+// lastAttempt reports whether the unit is not started again once its current run has failed.
+func (m *Model) lastAttempt(u *unit) bool {
+	return u == nil || u.step.job.ended || u.record.Failures+1 >= max(m.queue(u.step.job).Attempts, 1)
+}
+
 // updateHealth counts a success or failure for the worker's health.
 func (m *Model) updateHealth(w *worker, r *run, e EndReport) {
 	switch e.Kind {
@@ -314,14 +319,15 @@
 // unconfirmedEnd is a reported end that the worker lists until it is confirmed.
 type unconfirmedEnd struct {
 	durable bool
-	// unit is the unit that the end completes. The end is not confirmed while starts of the
-	// unit may be executed: a run that starts after a confirmed end runs the work again.
+	// unit is the unit that the end completes, or fails for good. The end is not confirmed
+	// while starts of the unit may be executed: a run that starts after a confirmed end runs
+	// the work again.
 	unit *unit
 	// notBeforeMS is the earliest time of the confirmation.
 	notBeforeMS int64
 }
 
-// holdEnd keeps a successful end from being confirmed as long as the unit may start again. A
+// holdEnd keeps a final end from being confirmed as long as the unit may start again. A
 // holder that has not seen the run doesn't know whether its predecessors left starts
 // unanswered.
 func (m *Model) holdEnd(end *unconfirmedEnd, r *run, u *unit) {
