Let a unit go on although its worker refuses to reject a late start

Cause: a run that is barred stayed until the worker had confirmed the stop, also when a report after the longest delay showed that it was not there.

Change: such a report ends the wait.

--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -269,7 +269,7 @@
 			continue
 		}
 		answered := r.lastAnswerMS > 0 && r.lastAnswerMS < w.holdSentMS
-		if r.state != runAdopted && !answered {
+		if r.state != runAdopted && !answered && !r.barNeedless() {
 			continue
 		}
 		if m.mayCompleteStart(r) {
@@ -291,6 +291,12 @@
 	}
 }
 
+// barNeedless reports whether a removed run that is missing from the latest report can't start
+// any more, so that the worker need not confirm the stop.
+func (r *run) barNeedless() bool {
+	return r.unit == nil && r.blocked != nil && r.worker.reportAsOfMS >= r.lateStartUntilMS
+}
+
 // mayCompleteStart reports whether the holder may start an adopted run that is missing from
 // the worker's report. The run has not ended there, since its end would be listed or its unit
 // recorded as ended; a worker that has stopped it rejects the start.
