Keep the term when the wall clock is set forward

Cause: the time at which the append in flight was sent is aged by a jump of the clock, and also told how long the append has been unanswered.

Change: the aged time is kept apart, for the confirmation of the term only.

--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -296,7 +296,7 @@
 	m.tableAsOfMS -= ahead
 	m.listAsOfMS -= ahead
 	m.proposer.confirmedMS -= ahead
-	m.proposer.sentMS -= ahead
+	m.proposer.sentAsOfMS -= ahead
 	m.event("ClockJumped", "AheadMS", ahead, "SuspendedMS", suspended)
 }
 
--- a/internal/workload/scheduler/proposer.go
+++ b/internal/workload/scheduler/proposer.go
@@ -21,6 +21,8 @@
 	sent     []reducer.Record
 	sentAcks []func(*Model)
 	sentMS   int64
+	// sentAsOfMS is sentMS, brought forward by what the clock has not counted since.
+	sentAsOfMS int64
 	// retryMS is when an unanswered append is sent again.
 	retryMS int64
 	// refused is set while the latest append failed at once.
@@ -59,7 +61,7 @@
 		// Acks are not tied to single records: all wait for the end of the queue.
 		p.sentAcks, p.queuedAcks = p.queuedAcks, nil
 	}
-	p.sentMS, p.retryMS = m.now.MonoMS, 0
+	p.sentMS, p.sentAsOfMS, p.retryMS = m.now.MonoMS, m.now.MonoMS, 0
 	m.emit(AppendCmd{Term: m.term.number, Sequence: p.sequence, Records: p.sent})
 }
 
@@ -89,7 +91,7 @@
 		m.event("AppendUnanswered", "Term", msg.Term, "Sequence", msg.Sequence, "Error", msg.Err)
 	case AppendDone:
 		acks := p.sentAcks
-		p.confirmedMS, p.refused = p.sentMS, false
+		p.confirmedMS, p.refused = p.sentAsOfMS, false
 		p.sequence++
 		if m.tableFresh() {
 			m.term.yieldCount = 0
