Confirm ends without delay after a planned change of the holder

Cause: a successor holds the ends of units that are not recorded as settled. A unit that ended before the next renewal of the term never was, nor were those that had just begun to run when the holder left.

Change: the record of a finished unit tells whether it is settled, and a leaving holder records what is settled before it hands the term over. A start in flight counts as one that may be executed late.

After a killed holder the wait stays.

--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -82,7 +82,7 @@
 
 // mayStartLate reports whether a start of the unit may still be executed.
 func (m *Model) mayStartLate(u *unit) bool {
-	return u.lateStarts > 0 || slices.ContainsFunc(u.runs, func(r *run) bool { return m.now.MonoMS < r.lateStartUntilMS })
+	return u.lateStarts > 0 || slices.ContainsFunc(u.runs, func(r *run) bool { return r.startInFlight || m.now.MonoMS < r.lateStartUntilMS })
 }
 
 // releaseLateStarts forgets the late starts for which settled returns true, and continues
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -389,6 +389,7 @@
 		return
 	}
 	m.orders.Clear()
+	m.recordSettledUnits()
 	c := m.termCandidates()
 	if len(c) == 0 || c[0].Holder == "" {
 		m.event("TermReleased", "Term", m.term.number)
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -281,6 +281,7 @@
 			m.stopRun(r)
 		}
 	}
+	u.record.Settled = !m.mayStartLate(u)
 	m.recordUnit(u)
 	m.countFinishedUnit(u.step)
 	m.finishCancel(u.step.job)
