--- a/internal/workload/scheduler/late_schedule_test.go
+++ b/internal/workload/scheduler/late_schedule_test.go
@@ -13,10 +13,16 @@
 func TestScheduleWithLateOrdersAndRestarts(t *testing.T) {
 	testLateSchedules(t, func(t *testing.T, sim *simulation) {
 		sim.expectUsableFleet(t)
-		sim.expectNoneOf(t, func(violation string) bool { return !exceedsCapacity(violation) })
+		sim.expectNoneOf(t, func(violation string) bool { return !exceedsCapacity(violation) && !followsCompletion(violation) })
 	})
 }
 
+// TestCompletedJobsWithLateOrdersAndRestarts guards against jobs that run again after callers
+// have seen them as completed.
+func TestCompletedJobsWithLateOrdersAndRestarts(t *testing.T) {
+	testLateSchedules(t, func(t *testing.T, sim *simulation) { sim.expectNoneOf(t, followsCompletion) })
+}
+
 // TestCapacityWithLateOrdersAndRestarts guards against workers that run more than fits, because
 // they have restarted under their ID and execute a start late beside new work.
 func TestCapacityWithLateOrdersAndRestarts(t *testing.T) {
@@ -47,6 +53,10 @@
 	return strings.Contains(violation, "the capacity of worker")
 }
 
+func followsCompletion(violation string) bool {
+	return strings.Contains(violation, "although its job was shown as completed")
+}
+
 // expectNoneOf checks that there are no violations for which judged returns true.
 func (sim *simulation) expectNoneOf(t *testing.T, judged func(violation string) bool) {
 	t.Helper()
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // A start that got no answer may still be executed seconds later. A worker rejects it if it
 // has confirmed a stop of the run, the run has ended there or it has seen a newer term, but a
@@ -31,6 +34,7 @@
 		r.unit.lateStarts++
 	}
 	m.lateStarts = append(m.lateStarts, r)
+	m.lateStartCounts[r.worker.ID]++
 }
 
 // unansweredStarts counts the runs whose starts got no answer and may still be executed by
@@ -48,6 +52,9 @@
 // its incarnation rejects them already. A run that it has started late occupies capacity and
 // has a lease of its own.
 func (m *Model) barLateStarts(w *worker) {
+	if m.lateStartCounts[w.ID] == 0 {
+		return
+	}
 	m.lateStarts = slices.DeleteFunc(m.lateStarts, func(r *run) bool {
 		if r.worker.ID != w.ID || r.barredIn == w.incarnation || m.now.MonoMS >= r.lateStartUntilMS || w.runs.get(r.ref) != nil {
 			return false
@@ -57,6 +64,7 @@
 		w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
 		m.event("RunBarred", "Job", r.ref.Unit.Job, "Unit", r.ref.Unit.String(), "Run", r.ref.Run, "Worker", w.ID)
 		m.queueStop(r)
+		m.lateStartCounts[w.ID]--
 		return true
 	})
 }
@@ -94,8 +102,10 @@
 			return false
 		}
 		released = append(released, r)
+		m.lateStartCounts[r.worker.ID]--
 		return true
 	})
+	maps.DeleteFunc(m.lateStartCounts, func(_ string, n int) bool { return n == 0 })
 	for _, r := range released {
 		if u := r.blocked; u != nil {
 			u.lateStarts--
@@ -125,6 +135,9 @@
 // lateStartWaitMS returns the time until the unit of a late start waits only for a report of
 // the worker, at most limitMS.
 func (m *Model) lateStartWaitMS(w *worker, limitMS int64) int64 {
+	if m.lateStartCounts[w.ID] == 0 {
+		return limitMS
+	}
 	for _, r := range m.lateStarts {
 		if r.worker.ID == w.ID && r.blocked != nil && r.blocked.state == unitStopping {
 			limitMS = min(limitMS, max(r.lateStartUntilMS-m.now.MonoMS, 0))
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -207,6 +207,8 @@
 	// lateStarts are runs that were removed while their starts could still reach the
 	// workers.
 	lateStarts []*run
+	// lateStartCounts counts them for each worker that has any.
+	lateStartCounts map[string]int
 	// unsettled are running units that are not recorded as settled.
 	unsettled []*unit
 	// fleet lists the workers by ID.
@@ -254,7 +256,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: reducer.New(), Config: &describer.Configuration{}, cfg: cfg,
-		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{}, witnessedOutcomes: map[string]witnessedOutcome{},
+		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, lateStartCounts: map[string]int{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{}, witnessedOutcomes: map[string]witnessedOutcome{},
 	}
 }
 
--- /dev/null
+++ b/internal/workload/scheduler/unnoticed_restart_lease_test.go
@@ -0,0 +1,62 @@
+package scheduler_test
+
+import (
+	"testing"
+
+	"daisyhead/internal/workload/scheduler"
+)
+
+// TestLateRenewalAfterUnnoticedRestart guards against two runs of one task at a time.
+//
+// A hold with a lease is late, and the worker restarts before it fails. A start that was sent
+// meanwhile is executed in the next life, and the worker is cut off before the holder hears of
+// the restart. The hold is then executed; its deadline, on the clock from before, extends the
+// lease for longer than the holder waits.
+func TestLateRenewalAfterUnnoticedRestart(t *testing.T) {
+	sim := newSmallFleet(t)
+	sim.traceJob(*tracedJob)
+	sim.run(15000)
+	sim.submit("render", "b", jobB, independentTasks(1, 1, 60000))
+	sim.run(16000)
+	f := sim.workerRunning(t, jobB)
+	for _, o := range sim.workers {
+		if o != f {
+			o.drain()
+		}
+	}
+	sim.run(17000)
+	const restartMS = 120
+	heldUp := false
+	sim.lateOrder = func(worker string, c scheduler.Command) (delayMS int64, late bool) {
+		hold, isHold := c.(scheduler.HoldCmd)
+		if heldUp || !isHold || worker != f.id || hold.DeadlineMS == 0 {
+			return 0, false
+		}
+		heldUp = true
+		sim.after(10, func() { f.crash(100) })
+		return 6000, true
+	}
+	for !heldUp {
+		sim.run(sim.nowMS + 1)
+	}
+	sim.run(sim.nowMS + restartMS)
+	sim.submit("render", "a", jobA, independentTasks(1, 4, 60000))
+	for len(f.runs) == 0 && sim.nowMS < 25000 {
+		sim.run(sim.nowMS + 1)
+	}
+	if len(f.runs) == 0 {
+		t.Fatal("the task was not started in the next life")
+	}
+	sim.run(sim.nowMS + 10)
+	f.unreachable = true
+	for _, o := range sim.workers {
+		o.spec.Draining = false
+	}
+	sim.run(sim.nowMS + 30000)
+	f.unreachable = false
+	sim.run(sim.nowMS + 5000)
+	if len(sim.lateResults) == 0 {
+		t.Error("no hold was executed late")
+	}
+	sim.expectNoViolations(t)
+}
