--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"math"
 	"slices"
 
 	"daisyhead/internal/workload/describer"
@@ -91,6 +92,9 @@
 	return ref.Unit.String() + "/" + string(rune('0'+ref.Member%64))
 }
 
+// maxClockLag is the largest fraction by which a worker's clock is slow.
+const maxClockLag = 0.02
+
 // clockMS returns the worker's clock, which starts anew with each incarnation.
 func (f *fakeWorker) clockMS() int64 {
 	return int64(float64(f.sim.nowMS-f.incarnationStartMS)*f.rate()) + 1000
@@ -220,12 +224,12 @@
 }
 
 // extendLease moves the end of the lease to the deadline, which is on the worker's clock,
-// but by no more than leaseMS from now.
+// but by no more than leaseMS of that clock from now.
 func (f *fakeWorker) extendLease(deadline int64) {
-	if deadline == 0 {
+	if deadline < f.clockMS() {
 		return
 	}
-	f.leaseEndMS = max(f.leaseEndMS, f.sim.nowMS+int64(float64(min(deadline-f.clockMS(), leaseMS))/f.rate()))
+	f.leaseEndMS = max(f.leaseEndMS, f.sim.nowMS+int64(math.Ceil(float64(min(deadline-f.clockMS(), leaseMS))/f.rate())))
 	endMS := f.leaseEndMS
 	f.sim.after(endMS-f.sim.nowMS+1, func() {
 		if f.leaseEndMS <= endMS {
@@ -274,8 +278,8 @@
 		f.extendLease(c.DeadlineMS)
 		return scheduler.OrderDone
 	}
-	f.extendLease(c.DeadlineMS)
 	if c.Task.Run <= f.highestEndedRun[taskKey(c.Task)] {
+		f.extendLease(c.DeadlineMS)
 		return scheduler.OrderRunEnded
 	}
 	if c.DeadlineMS < f.clockMS() {
@@ -285,6 +289,7 @@
 		f.sim.checker.refusedStarts++
 		return scheduler.OrderNoPermit
 	}
+	f.extendLease(c.DeadlineMS)
 	run := &fakeRun{ref: c.Task, startMS: f.sim.nowMS, workSinceMS: -1}
 	f.sim.checker.checkStart(f, run)
 	run.totalWorkMS = f.sim.checker.workMS(run.ref) * max(f.slowdown, 1)
@@ -423,7 +428,7 @@
 // replace adds a worker under another ID at the address of a crashed one, which leaves the
 // list.
 func (f *fakeWorker) replace() {
-	next := &fakeWorker{sim: f.sim, id: f.id + "'", incarnationStartMS: f.sim.nowMS, spec: f.spec, returnsAsAnother: true, runs: map[scheduler.TaskRef]*fakeRun{}, highestEndedRun: map[string]int{}}
+	next := &fakeWorker{sim: f.sim, id: f.id + "'", clockRate: f.clockRate, incarnationStartMS: f.sim.nowMS, spec: f.spec, returnsAsAnother: true, runs: map[scheduler.TaskRef]*fakeRun{}, highestEndedRun: map[string]int{}}
 	next.spec.ID = next.id
 	f.replaced, f.unlisted = true, true
 	f.sim.workers[next.id] = next
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -57,11 +57,14 @@
 // simulation runs instances and workers against a simulated platform in virtual
 // time. All randomness comes from its seed.
 type simulation struct {
-	t        testing.TB
-	rng      *rand.Rand
-	nowMS    int64
-	queue    eventQueue
-	sequence int
+	t   testing.TB
+	rng *rand.Rand
+	// platformRNG is the source of what the platform may do at any time. It is apart from
+	// rng so that it doesn't change the jobs and faults of a seed.
+	platformRNG *rand.Rand
+	nowMS       int64
+	queue       eventQueue
+	sequence    int
 
 	ledger    ledger
 	config    *describer.Configuration
@@ -110,7 +113,7 @@
 }
 
 func newSimulation(t testing.TB, seed uint64, instances int) *simulation {
-	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, stored: map[uint64]bool{}, checker: newInvariantChecker(), orderLatencyMS: defaultOrderLatencyMS, crashDelayMS: 10}
+	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), platformRNG: rand.New(rand.NewPCG(seed, 2)), workers: map[string]*fakeWorker{}, stored: map[uint64]bool{}, checker: newInvariantChecker(), orderLatencyMS: defaultOrderLatencyMS, crashDelayMS: 10}
 	sim.config = &describer.Configuration{Version: 1, Queues: []describer.Queue{
 		{Name: "urgent", Host: "h", PathPrefix: "/u/", Service: "s", Priority: 0, Attempts: 3, Stretch: 1.5, ObjectiveMS: 250},
 		{Name: "render", Host: "h", PathPrefix: "/r/", Service: "s", Priority: 1, Attempts: 3, Stretch: 3, ObjectiveMS: 1000},
@@ -130,7 +133,7 @@
 		for i := range perRack {
 			id := fmt.Sprintf("w%d-%d", r, i)
 			sim.workerIDs = append(sim.workerIDs, id)
-			sim.workers[id] = &fakeWorker{sim: sim, id: id, incarnationStartMS: 1, spec: describer.Worker{
+			sim.workers[id] = &fakeWorker{sim: sim, id: id, clockRate: 1 - maxClockLag*sim.platformRNG.Float64(), incarnationStartMS: 1, spec: describer.Worker{
 				ID: id, Address: id, Service: "s", Domain: fmt.Sprintf("d%d", r%3), Rack: fmt.Sprintf("r%d", r),
 				Labels: []string{"a", fmt.Sprintf("r%d", r)}, Room: describer.Resources{CPU: 64000, MemoryMB: 131072, Accelerators: 8},
 			}, runs: map[scheduler.TaskRef]*fakeRun{}, highestEndedRun: map[string]int{}}
