Take simulated workers that are down off the list

Cause: a simulated worker stayed listed however long it was down.

Change: a worker leaves the list 4.5 s after its crash and is back with its return.

--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -60,6 +60,8 @@
 	unreachable bool
 	// unlisted is set while the worker is missing from the platform's list.
 	unlisted bool
+	// expired is set while the worker is missing from the list because it was down.
+	expired bool
 	// fails makes every task fail shortly after its start.
 	fails bool
 	// refuses makes the worker refuse starts and stops as unhealthy. It answers holds.
@@ -399,7 +401,11 @@
 	f.sim.endGang(run.ref, kind)
 }
 
+// listExpiryMS is the silence after which the platform removes a worker from the list.
+const listExpiryMS = 4500
+
 // crash discards all of the worker's state. The worker returns as a new incarnation.
+// It leaves the list if it is down for listExpiryMS.
 func (f *fakeWorker) crash(backAfterMS int64) {
 	if f.replaced || f.down && f.returnsAsAnother {
 		return
@@ -413,14 +419,19 @@
 	f.ends, f.lastEndNumber, f.highestEndedRun, f.fencingToken, f.leaseEndMS = nil, 0, map[string]int{}, 0, 0
 	f.sim.checker.unconfirmedDone[f.id] = nil
 	f.crashes++
+	down := f.crashes
+	f.sim.after(listExpiryMS, func() {
+		if f.down && f.crashes == down {
+			f.expired = true
+		}
+	})
 	if f.returnsAsAnother {
 		f.sim.after(backAfterMS, f.replace)
 		return
 	}
-	crash := f.crashes
 	f.sim.after(backAfterMS, func() {
-		if f.crashes == crash {
-			f.down, f.incarnationStartMS = false, f.sim.nowMS
+		if f.crashes == down {
+			f.down, f.expired, f.incarnationStartMS = false, false, f.sim.nowMS
 		}
 	})
 }
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -450,7 +450,7 @@
 	if i.pollsWorkers && !i.sim.ledger.down && !i.ledgerUnreachable {
 		var list []describer.Worker
 		for _, name := range i.sim.workerIDs {
-			if f := i.sim.workers[name]; !f.unlisted {
+			if f := i.sim.workers[name]; !f.unlisted && !f.expired {
 				list = append(list, f.spec)
 			}
 		}
