Add simulated workers that guard their capacity

Cause: simulated workers never answered "room", whose lease counts all the same on workers with an admission check.

Change: TestScheduleWithGuardedRoom runs TestSchedule with workers that refuse what exceeds their capacity.

--- a/internal/workload/scheduler/checker_test.go
+++ b/internal/workload/scheduler/checker_test.go
@@ -169,11 +169,7 @@
 	c.checkCrashes(run.ref, now)
 	c.running[key]++
 	job.startTimesMS = append(job.startTimesMS, now)
-	used := c.step(run.ref).Need
-	for _, r := range f.runs {
-		used = used.Add(c.step(r.ref).Need)
-	}
-	if !f.countedRoom().Fits(used) {
+	if !f.fits(run.ref) {
 		c.addViolation("at %d ms: the capacity of worker %s was exceeded by task %s", now, f.id, key)
 	}
 }
--- a/internal/workload/scheduler/fakeworker_test.go
+++ b/internal/workload/scheduler/fakeworker_test.go
@@ -24,8 +24,8 @@
 	timerVersion int
 }
 
-// fakeWorker simulates a worker. It enforces leases, fencing tokens and permits but not
-// its capacity, which the invariantChecker checks.
+// fakeWorker simulates a worker. It enforces leases, fencing tokens and permits, and its
+// capacity if guardsRoom is set; otherwise the invariantChecker checks it.
 type fakeWorker struct {
 	sim  *simulation
 	spec describer.Worker
@@ -64,6 +64,8 @@
 	expired bool
 	// fails makes every task fail shortly after its start.
 	fails bool
+	// guardsRoom makes the worker refuse starts that exceed its capacity.
+	guardsRoom bool
 	// refuses makes the worker refuse starts and stops as unhealthy. It answers holds.
 	refuses bool
 	// slowdown multiplies the time that work takes; 0 counts as 1.
@@ -292,6 +294,9 @@
 		return scheduler.OrderNoPermit
 	}
 	f.extendLease(c.DeadlineMS)
+	if f.guardsRoom && !f.fits(c.Task) {
+		return scheduler.OrderNoRoom
+	}
 	run := &fakeRun{ref: c.Task, startMS: f.sim.nowMS, workSinceMS: -1}
 	f.sim.checker.checkStart(f, run)
 	run.totalWorkMS = f.sim.checker.workMS(run.ref) * max(f.slowdown, 1)
@@ -301,6 +306,15 @@
 	return scheduler.OrderDone
 }
 
+// fits reports whether the task fits the worker's capacity beside its runs.
+func (f *fakeWorker) fits(ref scheduler.TaskRef) bool {
+	used := f.sim.checker.step(ref).Need
+	for _, r := range f.runs {
+		used = used.Add(f.sim.checker.step(r.ref).Need)
+	}
+	return f.countedRoom().Fits(used)
+}
+
 // stop ends a run after stopDurationMS. It also rejects later starts of the run, whether
 // or not it is present.
 func (f *fakeWorker) stop(c scheduler.StopCmd) scheduler.OrderResult {
@@ -439,7 +453,7 @@
 // replace adds a worker under another ID at the address of a crashed one, which leaves the
 // list.
 func (f *fakeWorker) replace() {
-	next := &fakeWorker{sim: f.sim, id: f.id + "'", clockRate: f.clockRate, incarnationStartMS: f.sim.nowMS, spec: f.spec, returnsAsAnother: true, runs: map[scheduler.TaskRef]*fakeRun{}, highestEndedRun: map[string]int{}}
+	next := &fakeWorker{sim: f.sim, id: f.id + "'", clockRate: f.clockRate, guardsRoom: f.guardsRoom, incarnationStartMS: f.sim.nowMS, spec: f.spec, returnsAsAnother: true, runs: map[scheduler.TaskRef]*fakeRun{}, highestEndedRun: map[string]int{}}
 	next.spec.ID = next.id
 	f.replaced, f.unlisted = true, true
 	f.sim.workers[next.id] = next
--- a/internal/workload/scheduler/faults_test.go
+++ b/internal/workload/scheduler/faults_test.go
@@ -487,6 +487,22 @@
 	}
 }
 
+// TestScheduleWithGuardedRoom guards against faults that only workers show which refuse what
+// exceeds their capacity.
+func TestScheduleWithGuardedRoom(t *testing.T) {
+	for n := range *seedCount {
+		seed := *firstSeed + n
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomScheduleWithLatency(t, seed, defaultOrderLatencyMS, func(sim *simulation) {
+				for _, f := range sim.workers {
+					f.guardsRoom = true
+				}
+			})
+		})
+	}
+}
+
 // traceJob prints the events of a job, of changes of the term and of lost workers.
 func (sim *simulation) traceJob(id string) {
 	if id == "" {
