--- a/internal/workload/scheduler/late_start_test.go
+++ b/internal/workload/scheduler/late_start_test.go
@@ -449,7 +449,7 @@
 }
 
 // TestUnitWaitsForRunThatNobodyOrdered guards against a task that is placed while its worker
-// still stops another run of it: here one that the holder has never heard of.
+// still stops another run of it, which the holder did not order.
 func TestUnitWaitsForRunThatNobodyOrdered(t *testing.T) {
 	sim := newSmallFleet(t)
 	sim.closeDomains(map[string]bool{"d0": true, "d1": true, "d2": true})
