Case: a job that was shown as completed is run again

Rule: TWICE, a start by a machine in touch over a second after the job was shown as completed.

Disruption: the store is down for 4.5 s, all processes are killed at one moment, and one of ten minions is lost for good.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,7 +18,7 @@
 type check func(rec *recorder, trouble bool) (broken string, err error)
 
 var cases = map[string]check{
-	"count-twice": countTwice, "starve": starve, "cancel-gone": cancelGone, "pending": pending, "crashes": crashes,
+	"count-twice": countTwice, "starve": starve, "cancel-gone": cancelGone, "pending": pending, "crashes": crashes, "completed-twice": completedTwice, "lasting-away": lastingAway,
 }
 
 func main() {
--- a/review/harness/minion.go
+++ b/review/harness/minion.go
@@ -177,7 +177,7 @@
 }
 
 // crash ends the minion's life. The next one begins after the pause, under the same id and at
-// the same address.
+// the same address. With a pause of 0 the minion is lost for good.
 func (m *minion) crash(pause time.Duration) {
 	m.mu.Lock()
 	if m.crashed {
@@ -196,6 +196,9 @@
 	m.fleet.rec.log("minion %s crashes with %d runs", m.id, len(m.runs))
 	m.runs = map[string]*activeRun{}
 	m.mu.Unlock()
+	if pause == 0 {
+		return
+	}
 	time.Sleep(pause)
 	if err := m.begin(address); err != nil {
 		m.fleet.rec.log("minion %s: %v", m.id, err)
