Shorten the cut of the case about cancelling

The process that starts the second step is then in touch by all reckonings: the cut has ended 3.5 s before.

--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -202,7 +202,7 @@
 // later than cancel_ms.
 func cancelGone(rec *recorder, trouble bool) (broken string, err error) {
 	const (
-		cut   = 4 * time.Second
+		cut   = 1500 * time.Millisecond
 		takes = 5 * time.Second
 	)
 	f := &fleet{behave: func(string, int) behaviour { return behaviour{takes, "done"} }}
