Count the end of a run once, whatever number of holders reads it

Cause: a unit that waits for unanswered starts was recorded with the count of its ended run, but as placed. Workers list an end until it is confirmed, which an earlier end can delay by 13 s. Each successor adopted the run and counted its end again; for gangs also the crash of a worker.

RunEnded tells now whether its run was known.

Change: the record lists the starts for which the unit waits, and a successor adopts nothing else of such a unit. An end that is listed again belongs to no run then.

--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -186,6 +186,10 @@
 	Incarnations []int64  `cbor:",omitempty"`
 	// Settled is set once no start of the run that got no answer can be executed any more.
 	Settled bool `cbor:",omitempty"`
+	// LateStarts are the starts that may still be executed after the run is over. A unit
+	// that has any waits for them: nothing else of the run is left, and its end is already
+	// counted.
+	LateStarts []LateStart `cbor:",omitempty"`
 	// Failures counts the runs that failed because of a task itself.
 	Failures   int    `cbor:",omitempty"`
 	Checkpoint string `cbor:",omitempty"`
@@ -196,6 +200,14 @@
 	Crashes []Crash `cbor:",omitempty"`
 }
 
+// LateStart records a start that got no answer and may still be executed by its worker.
+type LateStart struct {
+	Worker string
+	// Member is the index in the step of the task.
+	Member int
+	Run    int
+}
+
 // Crash records that a worker was lost while tasks of a unit may have been present there.
 type Crash struct {
 	Worker string
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"daisyhead/internal/workload/reducer"
 )
 
 // A start that got no answer may still be executed seconds later. A worker rejects it if it
@@ -37,6 +39,39 @@
 	m.lateStartCounts[r.worker.ID]++
 }
 
+// lateStartsOf returns the late starts for which the unit waits, among them those of stray
+// runs that have not stopped yet.
+func (m *Model) lateStartsOf(u *unit) (starts []reducer.LateStart) {
+	add := func(runs []*run) {
+		for _, r := range runs {
+			if r.blocked == u {
+				starts = append(starts, reducer.LateStart{Worker: r.worker.ID, Member: r.ref.Member, Run: r.ref.Run})
+			}
+		}
+	}
+	add(m.lateStarts)
+	for _, w := range m.fleet {
+		add(w.runs.list)
+	}
+	return starts
+}
+
+// adoptLateStarts restores a unit whose run is over and that waits only for late starts. None
+// of its tasks is adopted: what the workers still list of them was handled before.
+func (m *Model) adoptLateStarts(u *unit) {
+	u.setState(unitStopping, m.now.MonoMS)
+	u.awaiting, u.stopReason = true, "an earlier holder has stopped it"
+	for _, s := range u.record.LateStarts {
+		m.lateStarts = append(m.lateStarts, &run{
+			ref: TaskRef{Unit: u.id, Member: s.Member, Run: s.Run}, worker: m.worker(s.Worker), need: u.step.spec.Reserved(),
+			state: runStopping, lateStartUntilMS: m.term.takenOverMS + predecessorDelayMS, blocked: u,
+		})
+		m.lateStartCounts[s.Worker]++
+		u.lateStarts++
+	}
+	m.event("LateStartsAdopted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes))
+}
+
 // unansweredStarts counts the runs whose starts got no answer and may still be executed by
 // the worker.
 func (m *Model) unansweredStarts(w *worker) (n int) {
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -169,7 +169,8 @@
 	ref := endRef{worker: w, incarnation: w.incarnation, number: e.Number}
 	r := w.runs.get(e.Task)
 	u := m.unit(e.Task.Unit)
-	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind)
+	state, _ := m.otherRuns(e.Task)
+	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind, "Known", r != nil, "UnitState", state)
 	if e.Kind == EndDone || e.Kind == EndFailed && m.lastAttempt(u) {
 		m.holdEnd(end, r, u)
 	}
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -95,6 +95,10 @@
 			u.step.occurrence.unfinishedSteps--
 		}
 	case reducer.PhasePlaced:
+		if len(rec.LateStarts) > 0 {
+			m.adoptLateStarts(u)
+			return
+		}
 		u.setState(unitStarting, m.now.MonoMS)
 		for i, name := range rec.Workers {
 			r := m.addRun(u, i, m.worker(name), runAdopted)
@@ -117,7 +121,7 @@
 func (m *Model) placeUnit(u *unit, workers []*worker) {
 	u.record.Term, u.record.Phase, u.record.Settled = m.term.number, reducer.PhasePlaced, false
 	u.record.Run++
-	u.record.Workers, u.record.Incarnations = nil, nil
+	u.record.Workers, u.record.Incarnations, u.record.LateStarts = nil, nil, nil
 	u.failed, u.stopReason, u.runningSinceMS, u.heldBackSinceMS = false, "", 0, 0
 	for i, w := range workers {
 		u.record.Workers = append(u.record.Workers, w.ID)
@@ -233,7 +237,7 @@
 		m.awaitLateStarts(u)
 		return
 	}
-	u.record.Phase, u.record.Workers, u.record.Incarnations = reducer.PhaseWaiting, nil, nil
+	u.record.Phase, u.record.Workers, u.record.Incarnations, u.record.LateStarts = reducer.PhaseWaiting, nil, nil, nil
 	u.setState(unitWaiting, m.now.MonoMS)
 	m.recordUnit(u)
 	m.event("UnitWaits", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes), "Reason", u.stopReason, "Saved", u.record.Checkpoint != "")
@@ -241,18 +245,22 @@
 	m.finishCancel(u.step.job)
 }
 
-// awaitLateStarts records the end of a run whose starts may still be executed. In the ledger,
-// the unit stays placed, so that a successor waits for them too.
+// awaitLateStarts records the end of a run whose starts may still be executed, together with
+// these starts. A successor waits for them too, but does not count the end again: workers list
+// an end until it is confirmed, which may take several terms.
 func (m *Model) awaitLateStarts(u *unit) {
-	if len(u.pendingEnds) > 0 {
+	first := !u.awaiting
+	if first {
+		u.awaiting = true
+		u.record.LateStarts = m.lateStartsOf(u)
+		m.event("UnitAwaitsStarts", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes), "Reason", u.stopReason)
+	}
+	if first || len(u.pendingEnds) > 0 {
 		m.recordUnit(u)
 	}
-	if u.awaiting {
-		return
+	if first {
+		m.finishCancel(u.step.job)
 	}
-	u.awaiting = true
-	m.event("UnitAwaitsStarts", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "Reason", u.stopReason)
-	m.finishCancel(u.step.job)
 }
 
 // recordUnit proposes the unit's record, and marks the unit's ends as durable once the
@@ -270,7 +278,7 @@
 		return
 	}
 	u.setState(unitDone, m.now.MonoMS)
-	u.record.Phase, u.record.Workers, u.record.Incarnations = reducer.PhaseDone, nil, nil
+	u.record.Phase, u.record.Workers, u.record.Incarnations, u.record.LateStarts = reducer.PhaseDone, nil, nil, nil
 	u.record.Crashes = nil
 	m.event("UnitDone", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run)
 	for _, r := range append([]*run{}, u.runs...) {
