Show a job as completed only once its outcome is durable

Cause: outcomes that two other instances remembered counted as safe, and were shown.

Change: states come from the ledger alone, and the witnesses are gone. A holder that can't append relays outcomes to other instances, which write them at once if they reach the ledger.

The checker of the simulations now reports each job that is shown as completed without an outcome in the ledger.

--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -6,9 +6,12 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"daisyhead/internal/workload/acceptor"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/follower"
+	"daisyhead/internal/workload/reducer"
 	"daisyhead/internal/workload/scheduler"
 )
 
@@ -18,6 +21,8 @@
 	// holdAllowance is added to the time for which a worker may delay its answer to a hold, to
 	// allow for the round trip.
 	holdAllowance = 800 * time.Millisecond
+	// relayWriteTimeout limits the attempts to write relayed outcomes.
+	relayWriteTimeout = time.Second
 )
 
 // dispatcher executes the control loop's commands. Commands that wait for an answer run in
@@ -69,15 +74,12 @@
 		if err := inst.deps.Peers.Yield(d.ctx, c.Address, c.Term); err != nil {
 			inst.deps.Reporter.Event("YieldUnanswered", "Term", c.Term, "To", c.To, "Error", err.Error())
 		}
-	case scheduler.RequestWitnessCmd:
-		err := inst.deps.Peers.Witness(d.ctx, c.Address, c.Outcome)
-		inst.loop.Send(scheduler.WitnessedMsg{Job: c.Job, By: c.To, Err: errorText(err)})
-	case scheduler.WriteOutcomesCmd:
-		for _, r := range c.Outcomes {
-			if err := inst.writer.Append(d.ctx, r); err != nil {
-				inst.deps.Reporter.Event("WitnessedOutcomeNotWritten", "Key", r.Key, "Error", err.Error())
-			}
+	case scheduler.RelayOutcomesCmd:
+		if err := inst.deps.Peers.RelayOutcomes(d.ctx, c.Address, c.Outcomes); err != nil {
+			inst.deps.Reporter.Event("RelayUnanswered", "To", c.To, "Error", err.Error())
 		}
+	case scheduler.WriteOutcomesCmd:
+		d.writeOutcomes(c.Outcomes)
 	case scheduler.HoldCmd:
 		ctx, cancel := context.WithTimeout(d.ctx, time.Duration(c.WaitMS)*time.Millisecond+holdAllowance)
 		defer cancel()
@@ -113,6 +115,19 @@
 	return msg
 }
 
+// writeOutcomes appends relayed outcomes together. The holder relays them again if that fails.
+func (d dispatcher) writeOutcomes(outcomes []reducer.Record) {
+	ctx, cancel := context.WithTimeout(d.ctx, relayWriteTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, r := range outcomes {
+		group.Go(func() error { return d.instance.writer.Append(ctx, r) })
+	}
+	if err := group.Wait(); err != nil {
+		d.instance.deps.Reporter.Event("RelayedOutcomesNotWritten", "Outcomes", len(outcomes), "Error", err.Error())
+	}
+}
+
 // delayed reports whether now is after the wall-clock time by which a command must be sent.
 // The wall clock goes on while the process is suspended.
 func delayed(sendByWallMS int64, now time.Time) bool { return now.UnixMilli() > sendByWallMS }
@@ -203,7 +218,7 @@
 	ok = j.instance.loop.Inspect(ctx, func(m *scheduler.Model) {
 		v.AsOf = j.instance.asOf(m)
 		if job, known := m.Table.Lookup(id); known {
-			v.Known, v.Cancelled, v.State = true, job.Cancelled, m.StateOf(job)
+			v.Known, v.Cancelled, v.State = true, job.Cancelled, job.State()
 		}
 	})
 	return v, ok
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -128,10 +128,10 @@
 // Process returns the name under which this process holds a term.
 func (s *storer) Process() string { return s.instance.holder }
 
-// Witness passes an outcome to the control loop, which remembers it for the holder. It returns
-// false if the control loop has stopped.
-func (s *storer) Witness(outcome reducer.Record) bool {
-	return s.instance.loop.Send(scheduler.RememberOutcomeMsg{Outcome: outcome})
+// WriteOutcomes passes relayed outcomes to the control loop, which writes those that the
+// ledger lacks. It returns false if the control loop has stopped.
+func (s *storer) WriteOutcomes(outcomes []reducer.Record) bool {
+	return s.instance.loop.Send(scheduler.OutcomesMsg{Outcomes: outcomes})
 }
 
 func storeError(r scheduler.StoreResult) error {
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -28,8 +28,8 @@
 // yieldPath is the path for requests to take over the term.
 const yieldPath = "/v1/yields"
 
-// witnessPath is the path for outcomes to remember until they are durable.
-const witnessPath = "/v1/witnesses"
+// outcomesPath is the path for outcomes to write in the holder's place.
+const outcomesPath = "/v1/outcomes"
 
 // recordsPath is the path for callers' records that the holder is asked to write.
 const recordsPath = "/v1/records"
@@ -120,7 +120,7 @@
 }
 
 // askTimeout limits the wait for the holder's answer about a job, which is short because the
-// sender can fall back on an older answer of its own. It also limits the wait for a witness.
+// sender can fall back on an older answer of its own. It also limits the wait for an instance that takes relayed outcomes.
 const askTimeout = 250 * time.Millisecond
 
 // Ask sends a call to the instance at an address.
@@ -207,12 +207,13 @@
 	return errors.Wrapf(err, "peer %s", address)
 }
 
-// Witness asks the instance at an address to remember a job's outcome until it is durable.
-func (f *Forwarder) Witness(ctx context.Context, address string, outcome reducer.Record) error {
+// RelayOutcomes asks the instance at an address to write outcomes to the ledger. It returns once
+// the instance has taken them, not once they are written.
+func (f *Forwarder) RelayOutcomes(ctx context.Context, address string, outcomes []reducer.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var taken bool
-	_, err := f.post(ctx, address, witnessPath, outcome, &taken)
+	_, err := f.post(ctx, address, outcomesPath, outcomes, &taken)
 	return errors.Wrapf(err, "peer %s", address)
 }
 
@@ -238,9 +239,9 @@
 	TakeOver(term uint64)
 	// Process returns the name of this process.
 	Process() string
-	// Witness remembers an outcome until it is durable. taken is false if the instance can no
-	// longer do so.
-	Witness(outcome reducer.Record) (taken bool)
+	// WriteOutcomes writes those of the outcomes that the ledger lacks. taken is false if the
+	// instance can no longer do so.
+	WriteOutcomes(outcomes []reducer.Record) (taken bool)
 }
 
 // Handler returns the HTTP handler for messages from peers.
@@ -267,12 +268,12 @@
 		}
 	})
 	mux.HandleFunc("POST "+processPath, func(w http.ResponseWriter, r *http.Request) { writeReply(w, s.Process()) })
-	mux.HandleFunc("POST "+witnessPath, func(w http.ResponseWriter, r *http.Request) {
-		var outcome reducer.Record
-		if !decodeRequest(w, r, &outcome) {
+	mux.HandleFunc("POST "+outcomesPath, func(w http.ResponseWriter, r *http.Request) {
+		var outcomes []reducer.Record
+		if !decodeRequest(w, r, &outcomes) {
 			return
 		}
-		if !s.Witness(outcome) {
+		if !s.WriteOutcomes(outcomes) {
 			http.Error(w, "the control loop has stopped", http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/workload/scheduler/checker_test.go
+++ b/internal/workload/scheduler/checker_test.go
@@ -185,14 +185,17 @@
 	return true
 }
 
-// checkShownCompleted checks that all steps of a job have ended when callers first see
-// it as completed.
-func (c *invariantChecker) checkShownCompleted(nowMS int64, id string) {
-	job := c.jobs[id]
+// checkShownCompleted checks that all steps of a job have ended, and that its outcome is
+// durable, when callers first see it as completed.
+func (c *invariantChecker) checkShownCompleted(sim *simulation, id string) {
+	job, nowMS := c.jobs[id], sim.nowMS
 	if job.shownCompletedMS > 0 {
 		return
 	}
 	job.shownCompletedMS = nowMS
+	if !sim.ledger.durablyCompleted(id) {
+		c.addViolation("at %d ms: job %s was shown as completed before its outcome was durable", nowMS, id)
+	}
 	for step := range job.steps {
 		if !c.stepDone(id, step) {
 			c.addViolation("at %d ms: job %s was shown as completed before step %d had ended", nowMS, id, step)
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -45,16 +45,14 @@
 	Address string
 }
 
-// RequestWitnessCmd asks another instance to remember an outcome until it is durable.
-type RequestWitnessCmd struct {
-	Job     string
-	Outcome reducer.Record
-	To      string
-	Address string
+// RelayOutcomesCmd asks another instance to write outcomes to the ledger.
+type RelayOutcomesCmd struct {
+	Outcomes []reducer.Record
+	To       string
+	Address  string
 }
 
-// WriteOutcomesCmd writes outcomes that this instance was asked to remember to the
-// ledger.
+// WriteOutcomesCmd writes outcomes that were relayed to this instance to the ledger.
 type WriteOutcomesCmd struct{ Outcomes []reducer.Record }
 
 // ReadCmd requests an immediate read of the ledger.
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -268,7 +268,7 @@
 	record := reducer.OutcomeRecord(j.id, reducer.Outcome{State: state, Reason: reason, AtMS: m.now.WallMS})
 	m.propose(record, func(m *Model) { delete(m.pendingOutcomes, j.id) })
 	if state == reducer.StateCompleted {
-		m.pendingOutcomes[j.id] = &pendingOutcome{record: record, sinceMS: m.now.MonoMS, witnesses: map[string]bool{}}
+		m.pendingOutcomes[j.id] = &pendingOutcome{record: record, sinceMS: m.now.MonoMS}
 	}
 	m.closeJob(j)
 }
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -243,17 +243,9 @@
 	Err     string
 }
 
-// RememberOutcomeMsg asks this instance to remember an outcome that the holder can't
-// write to the ledger at present.
-type RememberOutcomeMsg struct{ Outcome reducer.Record }
-
-// WitnessedMsg delivers the result of a RequestWitnessCmd. By names the instance that
-// was asked.
-type WitnessedMsg struct {
-	Job string
-	By  string
-	Err string
-}
+// OutcomesMsg asks this instance to write outcomes that the holder can't write to the ledger
+// at present.
+type OutcomesMsg struct{ Outcomes []reducer.Record }
 
 // YieldMsg asks this instance to claim the next term, because the holder of Term can't
 // write to the ledger.
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -223,9 +223,10 @@
 	unconfirmedCrashes []*unit
 	// pendingOutcomes holds this holder's outcomes that are not durable yet.
 	pendingOutcomes map[string]*pendingOutcome
-	// witnessedOutcomes holds outcomes that other holders asked this instance to
-	// remember and that are not durable yet.
-	witnessedOutcomes map[string]witnessedOutcome
+	// relays counts how often this process has relayed outcomes, relayedMS is when it last
+	// did.
+	relays    int
+	relayedMS int64
 	// urgentSeenMS is when the latest urgent job was first seen.
 	urgentSeenMS int64
 	// waitsReportedMS is when the steps that wait were last logged.
@@ -256,7 +257,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: reducer.New(), Config: &describer.Configuration{}, cfg: cfg,
-		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, lateStartCounts: map[string]int{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{}, witnessedOutcomes: map[string]witnessedOutcome{},
+		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, lateStartCounts: map[string]int{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{},
 	}
 }
 
@@ -351,10 +352,8 @@
 		m.handleAnswer(msg)
 	case StoreMsg:
 		m.store(msg)
-	case RememberOutcomeMsg:
-		m.rememberOutcome(msg)
-	case WitnessedMsg:
-		m.handleWitnessed(msg)
+	case OutcomesMsg:
+		m.handleRelayed(msg)
 	case YieldMsg:
 		m.probeIfAsked(msg)
 	case ShutdownMsg:
@@ -395,7 +394,6 @@
 	m.askSilentHolder()
 	m.claimTermIfDue()
 	m.retryHandover()
-	m.writeWitnessedOutcomes()
 	if !m.deciding() {
 		return
 	}
@@ -405,7 +403,7 @@
 	m.checkWorkers()
 	m.settleLateStarts()
 	m.retryOrders()
-	m.requestWitnesses()
+	m.relayOutcomes()
 	m.removeEndedJobs()
 	m.recordSpeeds()
 	m.reportWaits()
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -198,6 +198,14 @@
 	sim.ledger.records = append(sim.ledger.records, r)
 }
 
+// durablyCompleted reports whether the ledger holds the outcome of a completed job.
+func (l *ledger) durablyCompleted(id string) bool {
+	return slices.ContainsFunc(l.records, func(r reducer.Record) bool {
+		job, ok := reducer.OutcomeJobID(r)
+		return ok && job == id && len(r.Value) > 0
+	})
+}
+
 // jobState returns a job's state according to the ledger, or "" if it is unknown.
 func (sim *simulation) jobState(id string) reducer.State {
 	t := reducer.New()
@@ -329,8 +337,8 @@
 // completed.
 func (i *instance) reportCompletedJobs() {
 	for id, j := range i.model.Table.Jobs {
-		if _, known := i.model.Table.Lookup(id); known && i.model.StateOf(j) == reducer.StateCompleted {
-			i.sim.checker.checkShownCompleted(i.sim.nowMS, id)
+		if _, known := i.model.Table.Lookup(id); known && j.State() == reducer.StateCompleted {
+			i.sim.checker.checkShownCompleted(i.sim, id)
 		}
 	}
 }
@@ -532,11 +540,10 @@
 			}
 			return msg
 		})
-	case scheduler.RequestWitnessCmd:
+	case scheduler.RelayOutcomesCmd:
 		for _, o := range sim.instances {
 			if o.name == c.To && o.alive && !o.frozen {
-				sim.after(sim.orderLatencyMS, func() { o.send(scheduler.RememberOutcomeMsg{Outcome: c.Outcome}) })
-				i.reply(2*sim.orderLatencyMS, func() scheduler.Msg { return scheduler.WitnessedMsg{Job: c.Job, By: c.To} })
+				sim.after(sim.orderLatencyMS, func() { o.send(scheduler.OutcomesMsg{Outcomes: c.Outcomes}) })
 			}
 		}
 	case scheduler.WriteOutcomesCmd:
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -251,8 +251,7 @@
 	}
 }
 
-// takeOver rebuilds the holder's state from the table and from the outcomes that earlier
-// holders have reported to this instance.
+// takeOver rebuilds the holder's state from the table.
 func (m *Model) takeOver() {
 	m.term.active, m.term.number = true, m.Table.Term.Number
 	m.term.takenOverMS, m.term.renewedMS, m.term.renewals, m.term.yieldCount, m.term.staleSinceMS = m.now.MonoMS, m.now.MonoMS, 0, 0, 0
@@ -267,7 +266,6 @@
 	m.speeds.Restore(m.Table.Speeds.Levels)
 	m.speedsRecordedMS = m.now.MonoMS
 	m.syncJobs()
-	m.endWitnessedJobs()
 	m.passNeeded = true
 }
 
