Wait for late starts from the term of the start, not of the reader

Cause: a successor waited 15.5 s from its own take-over, whatever had passed. The bound belongs to the start: nobody sends it later than 2.5 s after the next term has begun. Ends that are kept back for late starts had the same fault, also those of ended jobs, and kept back all later ends of their worker.

Logs rule out a new unanswered start, a closed worker and booked capacity; StepWaits names the wait now.

Change: records of units and outcomes name the latest term in which a start may have been sent, and a holder records its term before it repeats a start. Records of the term carry the ages of the latest terms, so that they add up over restarts of all instances. A worker that is waited for stays known until the longest lease of all holders is over.

--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -90,6 +90,16 @@
 	Released bool `cbor:",omitempty"`
 	// Renewals counts the renewals of the term.
 	Renewals uint64 `cbor:",omitempty"`
+	// Recent tells since when the latest terms have run, the newest first. A process that
+	// has just started knows it only from here.
+	Recent []TermAge `cbor:",omitempty"`
+}
+
+// TermAge records for how long, at least, a term had begun when the record was written, in
+// milliseconds.
+type TermAge struct {
+	Number uint64
+	AgeMS  int64
 }
 
 // Instance records the address of an instance for its peers.
@@ -175,6 +185,7 @@
 // Unit records the state of one unit. It is written before any task of the unit
 // is started, so the next holder knows on which workers tasks may be running.
 type Unit struct {
+	// Term is the latest term in which a start of the run may have been sent.
 	Term  uint64
 	Phase Phase
 	// Run counts the starts of the unit. All tasks of a gang share it.
@@ -252,6 +263,9 @@
 	State  State
 	Reason string `cbor:",omitempty"`
 	AtMS   int64
+	// Term is the latest term in which a start of the job's tasks may have been sent, 0 in
+	// records of earlier versions.
+	Term uint64 `cbor:",omitempty"`
 }
 
 // State is the state of a job as callers see it.
@@ -345,6 +359,9 @@
 	return kind == keyTerm || kind == keySpeeds || kind == kindUnit || kind == kindOutcome || kind == kindUnreached
 }
 
+// IsTermRecord reports whether the record is one of a term.
+func IsTermRecord(r Record) bool { return r.Key == keyTerm }
+
 // CallerRecordJobID returns the job ID of a submission or cancellation, and false for
 // any other record. Tombstones are included.
 func CallerRecordJobID(r Record) (id string, ok bool) {
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -22,6 +22,17 @@
 // and sent it just in time.
 const predecessorDelayMS = maxTableAgeMS + maxSendDelayMS + maxOrderDelayMS
 
+// startsExpireMS returns until when starts may be executed that earlier holders sent in the
+// given term or before. It depends on the terms alone, so later holders arrive at the same
+// time. Term 0 stands for an unknown one.
+func (m *Model) startsExpireMS(term uint64) int64 {
+	next := m.term.number
+	if term > 0 {
+		next = min(term+1, next)
+	}
+	return m.termSeenSince(next) + predecessorDelayMS
+}
+
 // trackLateStart remembers a removed run if a start of it may still reach the worker. The
 // run's unit waits until the start is settled.
 func (m *Model) trackLateStart(r *run) {
@@ -64,12 +75,12 @@
 	for _, s := range u.record.LateStarts {
 		m.lateStarts = append(m.lateStarts, &run{
 			ref: TaskRef{Unit: u.id, Member: s.Member, Run: s.Run}, worker: m.worker(s.Worker), need: u.step.spec.Reserved(),
-			state: runStopping, lateStartUntilMS: m.term.takenOverMS + predecessorDelayMS, blocked: u,
+			state: runStopping, lateStartUntilMS: m.startsExpireMS(u.record.Term), blocked: u,
 		})
 		m.lateStartCounts[s.Worker]++
 		u.lateStarts++
 	}
-	m.event("LateStartsAdopted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes))
+	m.event("LateStartsAdopted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "SinceTerm", u.record.Term, "ForMS", m.startsExpireMS(u.record.Term)-m.now.MonoMS, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes))
 }
 
 // unansweredStarts counts the runs whose starts got no answer and may still be executed by
@@ -117,10 +128,10 @@
 		return false
 	}
 	w := m.workers[r.worker.ID]
-	if w != nil && w.reportAsOfMS >= r.lateStartUntilMS {
+	if w != nil && w.answeredInTerm && w.reportAsOfMS >= r.lateStartUntilMS {
 		return w.runs.get(r.ref) == nil
 	}
-	return m.now.MonoMS > r.lateStartUntilMS+withDrift(m.cfg.LeaseMS)
+	return m.now.MonoMS > r.lateStartUntilMS+withDrift(m.cfg.LeaseMS) && (w == nil || m.now.MonoMS > w.leaseEndMS)
 }
 
 // mayStartLate reports whether a start of the unit may still be executed.
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -182,8 +182,10 @@
 	shuttingDown bool
 
 	term termState
-	// termFirstSeenMS is when this process first saw each term.
+	// termFirstSeenMS is when this process first saw each term. termBegunMS is a time at
+	// which each term had begun, which may be before the start of this process.
 	termFirstSeenMS map[uint64]int64
+	termBegunMS     map[uint64]int64
 	// lostTermMS is when this process last saw each instance lose the term.
 	lostTermMS map[string]int64
 	// unreachedReadMS is, for each worker, when this process read the latest record
@@ -257,7 +259,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: reducer.New(), Config: &describer.Configuration{}, cfg: cfg,
-		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, lateStartCounts: map[string]int{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{},
+		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, termBegunMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, lateStartCounts: map[string]int{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{},
 	}
 }
 
@@ -455,6 +457,9 @@
 	if id, ok := reducer.OutcomeJobID(r); ok {
 		m.outcomeRecorded(id)
 	}
+	if reducer.IsTermRecord(r) {
+		m.noteTermAges()
+	}
 	if reducer.IsHolderRecord(r) {
 		m.term.silentSinceMS = m.now.MonoMS
 		m.liveness.silentTerm, m.term.provenTerm = 0, 0
@@ -472,6 +477,7 @@
 	}
 	m.Table, m.loaded, m.tableAsOfMS = msg.Table, true, max(m.tableAsOfMS, m.agedMS(msg.AsOfMS))
 	m.term.silentSinceMS = m.now.MonoMS
+	m.noteTermAges()
 	for worker := range m.Table.Unreached {
 		m.unreachedReadMS[worker] = m.now.MonoMS
 	}
--- a/internal/workload/scheduler/outcomes.go
+++ b/internal/workload/scheduler/outcomes.go
@@ -93,6 +93,12 @@
 	delete(m.pendingOutcomes, id)
 	if j := m.jobs[id]; m.deciding() && j != nil && !j.ended {
 		m.event("JobEndedElsewhere", "Job", id)
+		// The writer does not know of starts in this term.
+		if t, known := m.Table.Lookup(id); known && t.Outcome != nil && t.Outcome.Term < m.term.number {
+			o := *t.Outcome
+			o.Term = m.term.number
+			m.propose(reducer.OutcomeRecord(id, o))
+		}
 		m.closeJob(j)
 		m.stopJob(j, "the job is complete")
 	}
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -123,12 +123,12 @@
 // stopOrphan stops a reported task for which the holder has no run. It occupies
 // capacity until it has stopped.
 func (m *Model) stopOrphan(w *worker, p RunReport) {
-	r := &run{ref: p.Task, worker: w, state: runStopping, lateStartUntilMS: m.term.takenOverMS + predecessorDelayMS}
+	r := &run{ref: p.Task, worker: w, state: runStopping, lateStartUntilMS: m.startsExpireMS(m.lastTermOf(p.Task.Unit.Job))}
 	if s, ok := m.stepOf(p.Task.Unit); ok {
 		r.need = s.Reserved()
 	}
 	if u := m.unit(p.Task.Unit); u != nil {
-		r.blocked = u
+		r.blocked, r.lateStartUntilMS = u, m.startsExpireMS(u.record.Term)
 		u.lateStarts++
 		if u.state == unitRecording {
 			m.stopUnit(u, "another run is still on worker "+w.ID)
@@ -172,7 +172,7 @@
 	state, _ := m.otherRuns(e.Task)
 	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind, "Known", r != nil, "UnitState", state)
 	if e.Kind == EndDone || e.Kind == EndFailed && m.lastAttempt(u) {
-		m.holdEnd(end, r, u)
+		m.holdEnd(end, e.Task.Unit.Job, r, u)
 	}
 	if r != nil {
 		m.recordDuration(r, e.Kind)
@@ -275,7 +275,7 @@
 		}
 		if m.mayCompleteStart(r) {
 			r.state = runPlanned
-			m.queueStart(r)
+			m.completeStart(r)
 			continue
 		}
 		m.countCrashBefore(r)
@@ -306,6 +306,29 @@
 		r.incarnation == r.worker.incarnation && m.schedulable(r.worker) && !m.queue(r.unit.step.job).Advised
 }
 
+// completeStart starts an adopted run. The record has to say first that a start of the unit is
+// sent in this term, since a later holder waits for starts by their term. The start is repeated
+// for as long as that of a new placement.
+func (m *Model) completeStart(r *run) {
+	u, run := r.unit, r.ref.Run
+	if u.record.Term == m.term.number {
+		m.queueStart(r)
+		return
+	}
+	u.record.Term, u.termUnrecorded, u.stateSinceMS = m.term.number, true, m.now.MonoMS
+	m.propose(reducer.UnitRecord(u.id, u.record), func(m *Model) {
+		if u.record.Run != run {
+			return
+		}
+		u.termUnrecorded = false
+		for _, r := range u.runs {
+			if r.state == runPlanned {
+				m.queueStart(r)
+			}
+		}
+	})
+}
+
 // markEndsDurable marks the ends as durable. The holds then confirm them to the workers,
 // which stop reporting them.
 func (m *Model) markEndsDurable(ends []endRef) {
@@ -337,14 +360,27 @@
 // holdEnd keeps a final end from being confirmed as long as the unit may start again. A
 // holder that has not seen the run doesn't know whether its predecessors left starts
 // unanswered.
-func (m *Model) holdEnd(end *unconfirmedEnd, r *run, u *unit) {
+func (m *Model) holdEnd(end *unconfirmedEnd, job string, r *run, u *unit) {
 	if u != nil && u.step.spec.Perpetual {
 		return
 	}
 	end.unit = u
-	if r == nil && (u == nil || !u.record.Settled) {
-		end.notBeforeMS = m.term.takenOverMS + predecessorDelayMS
+	switch {
+	case r != nil:
+	case u == nil:
+		end.notBeforeMS = m.startsExpireMS(m.lastTermOf(job))
+	case !u.record.Settled:
+		end.notBeforeMS = m.startsExpireMS(u.record.Term)
+	}
+}
+
+// lastTermOf returns the latest term in which a start of the ended job's tasks may have been
+// sent, 0 if it is not known.
+func (m *Model) lastTermOf(job string) uint64 {
+	if t, known := m.Table.Lookup(job); known && t.Outcome != nil {
+		return t.Outcome.Term
 	}
+	return 0
 }
 
 // confirmable reports whether the worker may forget the end.
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -98,11 +98,11 @@
 }
 
 // mayStart reports whether a start may be sent now. It may not while an order is in
-// flight, the worker has not answered or may get no lease, the table is too old to show a
-// recent cancellation, or the list too old to show a recent change of the capacity;
-// retryOrders tries again.
+// flight, its term is not recorded, the worker has not answered or may get no lease, the table
+// is too old to show a recent cancellation, or the list too old to show a recent change of the
+// capacity; retryOrders tries again.
 func (m *Model) mayStart(r *run) bool {
-	return !r.orderInFlight && r.worker.answered && !r.worker.unreachedRecorded && m.tableFresh() && m.listFresh()
+	return !r.orderInFlight && !r.unit.termUnrecorded && r.worker.answered && !r.worker.unreachedRecorded && m.tableFresh() && m.listFresh()
 }
 
 // hasRoomFor reports whether the run fits the worker's capacity beside the other runs that
@@ -180,7 +180,7 @@
 		m.event("StartNotSent", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Worker", msg.Worker)
 	case OrderUnknown, OrderLeaseExpired:
 		if msg.Result == OrderUnknown {
-			r.startUnanswered, r.lateStartUntilMS = true, r.orderSentMS+maxOrderDelayMS
+			r.startUnanswered, r.lateStartUntilMS = true, max(r.lateStartUntilMS, r.orderSentMS+maxOrderDelayMS)
 		}
 		m.event("StartUnanswered", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Run", msg.Task.Run, "Worker", msg.Worker, "Result", msg.Result, "Error", msg.Err)
 	}
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -183,7 +183,7 @@
 // claim requests a claim of the next term.
 func (m *Model) claim(reason string) {
 	m.term.claiming = true
-	t := reducer.Term{Number: m.Table.Term.Number + 1, Holder: m.cfg.Holder}
+	t := reducer.Term{Number: m.Table.Term.Number + 1, Holder: m.cfg.Holder, Recent: m.recentTermAges()}
 	m.event("TermClaimSent", "Term", t.Number, "Reason", reason, "Offset", m.Table.Next, "Rank", m.claimRank(), "RecentTerms", m.recentTerms())
 	m.emit(ClaimCmd{Term: t, SendByWallMS: m.now.WallMS + maxSendDelayMS})
 }
@@ -293,7 +293,7 @@
 	m.term.renewedMS = m.now.MonoMS
 	m.term.renewals++
 	m.recordSettledUnits()
-	m.propose(reducer.TermRecord(reducer.Term{Number: m.term.number, Holder: m.cfg.Holder, Renewals: m.term.renewals}))
+	m.propose(reducer.TermRecord(reducer.Term{Number: m.term.number, Holder: m.cfg.Holder, Renewals: m.term.renewals, Recent: m.recentTermAges()}))
 }
 
 // yieldTermIfDue asks the other instances in turn to take over while this one can't
@@ -393,10 +393,10 @@
 	c := m.termCandidates()
 	if len(c) == 0 || c[0].Holder == "" {
 		m.event("TermReleased", "Term", m.term.number)
-		m.propose(reducer.TermRecord(reducer.Term{Number: m.term.number, Holder: m.cfg.Holder, Released: true}), func(m *Model) { m.stepDown("released") })
+		m.propose(reducer.TermRecord(reducer.Term{Number: m.term.number, Holder: m.cfg.Holder, Released: true, Recent: m.recentTermAges()}), func(m *Model) { m.stepDown("released") })
 		return
 	}
-	m.term.handover = &reducer.Term{Number: m.term.number + 1, Holder: c[0].Holder}
+	m.term.handover = &reducer.Term{Number: m.term.number + 1, Holder: c[0].Holder, Recent: m.recentTermAges()}
 	m.event("TermHandedOver", "Term", m.term.number, "To", c[0].Holder)
 	m.onceDurable(func(m *Model) { m.claimForSuccessor() })
 }
--- /dev/null
+++ b/internal/workload/scheduler/term_ages.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"daisyhead/internal/workload/reducer"
+)
+
+// How long ago a term began bounds what its predecessors can still do. Each process notes when
+// it first saw a term, and the records of the term carry these times on as ages, so that they
+// add up over any number of holders and restarts.
+
+// rememberTerm remembers when this process first saw the current term, and when it saw the
+// preceding holder lose it.
+func (m *Model) rememberTerm() {
+	number, holder := m.Table.Term.Number, m.Table.Term.Holder
+	if _, seen := m.termFirstSeenMS[number]; !seen {
+		m.termFirstSeenMS[number] = m.now.MonoMS
+		m.noteTermBegun(number, m.now.MonoMS)
+	}
+	if before := m.term.holderSeen; before != "" && before != holder {
+		m.lostTermMS[reducer.InstanceOf(before)] = m.now.MonoMS
+	}
+	m.term.holderSeen = holder
+}
+
+// noteTermAges takes over what the latest record of the term tells about recent terms.
+func (m *Model) noteTermAges() {
+	for _, a := range m.Table.Term.Recent {
+		m.noteTermBegun(a.Number, m.now.MonoMS-max(a.AgeMS, 0))
+	}
+}
+
+// noteTermBegun notes that the term had begun at the given time.
+func (m *Model) noteTermBegun(number uint64, atMS int64) {
+	if before, known := m.termBegunMS[number]; !known || atMS < before {
+		m.termBegunMS[number] = atMS
+	}
+}
+
+// termSeenSince returns a time at which the term or a later one had begun: the earliest that is
+// known, or the current time if none is.
+func (m *Model) termSeenSince(term uint64) int64 {
+	earliest := m.now.MonoMS
+	for number, at := range m.termBegunMS {
+		if number >= term {
+			earliest = min(earliest, at)
+		}
+	}
+	return earliest
+}
+
+// recentTermAges returns the ages of the latest terms, up to the first one that is so old that
+// no order of its predecessors can be executed any more.
+func (m *Model) recentTermAges() (ages []reducer.TermAge) {
+	numbers := slices.SortedFunc(maps.Keys(m.termBegunMS), func(a, b uint64) int { return cmp.Compare(b, a) })
+	for _, n := range numbers {
+		if n == 0 {
+			break
+		}
+		age := m.now.MonoMS - m.termSeenSince(n)
+		ages = append(ages, reducer.TermAge{Number: n, AgeMS: age})
+		if age > predecessorDelayMS {
+			break
+		}
+	}
+	return ages
+}
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -45,6 +45,9 @@
 	record reducer.Unit
 	// runs are the runs of its tasks that are planned or may be present on workers.
 	runs []*run
+	// termUnrecorded is set while the record does not say yet that starts are sent in this
+	// term.
+	termUnrecorded bool
 	// lateStarts counts removed runs whose starts may still be executed.
 	lateStarts int
 	// awaiting is set once the unit waits only for its late starts.
@@ -104,7 +107,7 @@
 			r := m.addRun(u, i, m.worker(name), runAdopted)
 			r.adopted = true
 			if !rec.Settled {
-				r.lateStartUntilMS = m.term.takenOverMS + predecessorDelayMS
+				r.lateStartUntilMS = m.startsExpireMS(rec.Term)
 			}
 			if i < len(rec.Incarnations) {
 				r.incarnation = rec.Incarnations[i]
@@ -122,7 +125,7 @@
 	u.record.Term, u.record.Phase, u.record.Settled = m.term.number, reducer.PhasePlaced, false
 	u.record.Run++
 	u.record.Workers, u.record.Incarnations, u.record.LateStarts = nil, nil, nil
-	u.failed, u.stopReason, u.runningSinceMS, u.heldBackSinceMS = false, "", 0, 0
+	u.failed, u.termUnrecorded, u.stopReason, u.runningSinceMS, u.heldBackSinceMS = false, false, "", 0, 0
 	for i, w := range workers {
 		u.record.Workers = append(u.record.Workers, w.ID)
 		u.record.Incarnations = append(u.record.Incarnations, w.incarnation)
--- a/internal/workload/scheduler/unreached.go
+++ b/internal/workload/scheduler/unreached.go
@@ -7,31 +7,6 @@
 // repeats the records: two holds.
 const unreachedIntervalMS = 1000
 
-// rememberTerm remembers when this process first saw the current term, and when it saw the
-// preceding holder lose it.
-func (m *Model) rememberTerm() {
-	number, holder := m.Table.Term.Number, m.Table.Term.Holder
-	if _, seen := m.termFirstSeenMS[number]; !seen {
-		m.termFirstSeenMS[number] = m.now.MonoMS
-	}
-	if before := m.term.holderSeen; before != "" && before != holder {
-		m.lostTermMS[reducer.InstanceOf(before)] = m.now.MonoMS
-	}
-	m.term.holderSeen = holder
-}
-
-// termSeenSince returns when this process first saw the term or a later one, or the
-// current time if it has seen neither.
-func (m *Model) termSeenSince(term uint64) int64 {
-	earliest := m.now.MonoMS
-	for number, at := range m.termFirstSeenMS {
-		if number >= term {
-			earliest = min(earliest, at)
-		}
-	}
-	return earliest
-}
-
 // unreachedSince returns the time since which no holder can have granted the worker a
 // lease: a holder that did not reach the worker granted none. Only a record of the
 // preceding term shows this; after an older one, a later holder may have granted a lease.
@@ -51,7 +26,7 @@
 		return
 	}
 	for _, w := range m.fleet {
-		if !w.answeredInTerm && w.runs.len() > 0 && m.now.MonoMS-w.unreachedRecordedMS >= unreachedIntervalMS {
+		if !w.answeredInTerm && (w.runs.len() > 0 || m.lateStartCounts[w.ID] > 0) && m.now.MonoMS-w.unreachedRecordedMS >= unreachedIntervalMS {
 			m.proposeUnreached(w)
 		}
 	}
--- a/internal/workload/scheduler/waits.go
+++ b/internal/workload/scheduler/waits.go
@@ -22,6 +22,9 @@
 const (
 	// waitOrders: no unit waits for a placement.
 	waitOrders = "Orders"
+	// waitLateStarts: no unit waits for a placement, and at least one waits until its
+	// unanswered starts can't be executed any more.
+	waitLateStarts = "LateStarts"
 	// waitPass: the step fits as it is, but no pass has placed it yet.
 	waitPass = "Pass"
 	// waitTrial: it would fit where other work has just started that it must not join, since
@@ -50,6 +53,33 @@
 	// tasks is how many tasks fit into the capacity as the step sees it, rackTasks how
 	// many of them in one rack, and headroomTasks how many in the headroom.
 	tasks, rackTasks, headroomTasks int
+	// lateStarts describes the starts for which units of the step wait.
+	lateStarts []LateStartWait
+}
+
+// LateStartWait describes in the log the wait for a start that may still be executed.
+type LateStartWait struct {
+	Unit   string
+	Run    int
+	Worker string
+	// Term is the latest term in which the start may have been sent.
+	Term uint64
+	// ForMS is for how much longer it may be executed. From then on the unit waits for a
+	// report of the worker or the end of its lease.
+	ForMS int64
+}
+
+// maxLateStartWaits limits the waits for late starts in the report of one step.
+const maxLateStartWaits = 8
+
+// lateStartWaits describes the starts for which units of the step wait.
+func (m *Model) lateStartWaits(s *step) (waits []LateStartWait) {
+	for _, r := range m.lateStarts {
+		if u := r.blocked; u != nil && u.step == s && u.awaiting && len(waits) < maxLateStartWaits {
+			waits = append(waits, LateStartWait{Unit: u.id.String(), Run: r.ref.Run, Worker: r.worker.ID, Term: u.record.Term, ForMS: max(r.lateStartUntilMS-m.now.MonoMS, 0)})
+		}
+	}
+	return waits
 }
 
 // reportWaits logs the steps that have been ready for a while and have no task running:
@@ -79,10 +109,16 @@
 	closed := m.closedWorkers()
 	for _, w := range waits[:min(len(waits), maxWaitReports)] {
 		s := w.step
-		m.event("StepWaits", "Job", s.job.id, "Occurrence", s.occurrence.number, "Step", s.index, "WaitsMS", m.now.MonoMS-s.idleSinceMS, "Reason", w.reason,
+		fields := []any{
+			"Job", s.job.id, "Occurrence", s.occurrence.number, "Step", s.index, "WaitsMS", m.now.MonoMS - s.idleSinceMS, "Reason", w.reason,
 			"Width", s.spec.Count, "CPU", s.spec.Reserved().CPU, "MemoryMB", s.spec.Need.MemoryMB, "Accelerators", s.spec.Need.Accelerators,
 			"Units", w.units, "FailedWorkers", w.failedWorkers, "FitTasks", w.tasks, "FitTasksInRack", w.rackTasks, "FitTasksInHeadroom", w.headroomTasks,
-			"Workers", len(m.fleet), "Closed", closed, "IdleSteps", len(idle))
+			"Workers", len(m.fleet), "Closed", closed, "IdleSteps", len(idle),
+		}
+		if len(w.lateStarts) > 0 {
+			fields = append(fields, "LateStarts", w.lateStarts)
+		}
+		m.event("StepWaits", fields...)
 	}
 }
 
@@ -123,7 +159,11 @@
 	w.tasks, w.rackTasks = packer.CountTasks(nodes, r)
 	fitting, _ := packer.CountTasks(all, r)
 	w.headroomTasks = fitting - w.tasks
+	w.lateStarts = m.lateStartWaits(s)
 	if first == nil {
+		if len(w.lateStarts) > 0 {
+			w.reason = waitLateStarts
+		}
 		return w
 	}
 	w.failedWorkers = len(first.failedOn)
--- a/internal/workload/scheduler/waits_test.go
+++ b/internal/workload/scheduler/waits_test.go
@@ -95,3 +95,36 @@
 		t.Error("the job that waits for closed workers was not reported")
 	}
 }
+
+// TestWaitForLateStartsIsExplained guards against a wait whose cause and end can't be found in
+// the log, also after a change of the holder.
+func TestWaitForLateStartsIsExplained(t *testing.T) {
+	sim := newSmallFleet(t)
+	reports := sim.waitReports()
+	h := sim.holdUpStarts(jobA, 0, everyStart, 14900)
+	sim.submit("render", "a", jobA, independentTasks(1, 8, 2000))
+	sim.run(6000)
+	h.max = h.sent
+	for _, term := range []uint64{1, 2} {
+		*reports = nil
+		sim.run(sim.nowMS + 5000)
+		if len(*reports) == 0 {
+			t.Fatalf("at %d ms: the wait is not reported", sim.nowMS)
+		}
+		got := (*reports)[len(*reports)-1]
+		waits, _ := got["LateStarts"].([]scheduler.LateStartWait)
+		if got["Reason"] != "LateStarts" || len(waits) != 1 {
+			t.Fatalf("at %d ms: report %v, want one late start as the reason", sim.nowMS, got)
+		}
+		forMS := waits[0].ForMS
+		waits[0].ForMS = 0
+		want := scheduler.LateStartWait{Unit: jobA + ".0.0.0", Run: 1, Worker: h.worker.id, Term: 1}
+		if diff := cmp.Diff(want, waits[0]); diff != "" {
+			t.Errorf("in term %d (-want +got):\n%s", term, diff)
+		}
+		if forMS <= 0 || forMS > 15500 {
+			t.Errorf("in term %d the start may be executed for %d ms, want up to 15500", term, forMS)
+		}
+		sim.holder().kill()
+	}
+}
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -143,7 +143,7 @@
 			m.countCrash(w, false, nil)
 			m.removeAllRuns(w, "its lease expired without an answer")
 		}
-		if !m.listedRecently(w) && w.runs.len() == 0 && !w.holdInFlight && m.now.MonoMS >= w.lateConfirmationUntilMS {
+		if !m.listedRecently(w) && w.runs.len() == 0 && m.lateStartCounts[w.ID] == 0 && !w.holdInFlight && m.now.MonoMS >= w.lateConfirmationUntilMS {
 			m.removeWorker(w)
 			continue
 		}
