Relay outcomes only while appends are refused

Cause: a holder also relayed after 0.5 s without an answer. In a slow ledger the appends of other instances queue in the one partition before its own.

Change: relays go out only while appends are refused at once. A ledger that is silent for the holder alone is left to the request to take over.

Measured: TestSlowLedgerRelaysNothing fails without the change.

--- a/internal/workload/scheduler/outcomes.go
+++ b/internal/workload/scheduler/outcomes.go
@@ -29,13 +29,11 @@
 	relayTableAgeMS = 600
 )
 
-// relayOutcomes relays the outcomes that take long to become durable to the next instance. A
-// holder whose appends are only slow relays nothing, since another append would wait behind
-// them.
+// relayOutcomes relays the outcomes that take long to become durable to the next instance, if
+// appends of this one are refused. While they have no answer, the ledger may only be slow, and
+// the appends of others would queue there before its own.
 func (m *Model) relayOutcomes() {
-	p := &m.proposer
-	failing := p.refused || len(p.sent) > 0 && m.now.MonoMS-p.sentMS >= yieldAfterMS
-	if len(m.pendingOutcomes) == 0 || !failing || m.now.MonoMS-m.relayedMS < relayIntervalMS {
+	if len(m.pendingOutcomes) == 0 || !m.proposer.refused || m.now.MonoMS-m.relayedMS < relayIntervalMS {
 		return
 	}
 	others := m.termCandidates()
@@ -52,7 +50,7 @@
 	to := others[m.relays%len(others)]
 	m.relays++
 	m.relayedMS = m.now.MonoMS
-	m.event("OutcomesRelayed", "Outcomes", len(late), "To", to.Name, "Refused", p.refused)
+	m.event("OutcomesRelayed", "Outcomes", len(late), "To", to.Name)
 	m.emit(RelayOutcomesCmd{Outcomes: late, To: to.Name, Address: to.Address})
 }
 
--- a/internal/workload/scheduler/outcomes_test.go
+++ b/internal/workload/scheduler/outcomes_test.go
@@ -95,6 +95,28 @@
 	sim.expectNoViolations(t)
 }
 
+// TestSlowLedgerRelaysNothing guards against relayed outcomes that queue in a slow ledger before
+// the holder's own appends, so that ends are not confirmed for seconds.
+func TestSlowLedgerRelaysNothing(t *testing.T) {
+	sim := newSmallFleet(t)
+	relays := 0
+	sim.trace = func(_ string, e scheduler.EventCmd) {
+		if e.Name == "OutcomesRelayed" {
+			relays++
+		}
+	}
+	sim.submit("urgent", "a", jobA, gangStep(2, 8, 2500))
+	sim.run(4000)
+	sim.ledger.slowMS = 3000
+	sim.run(12000)
+	sim.ledger.slowMS = 0
+	sim.run(20000)
+	if relays > 0 {
+		t.Errorf("outcomes were relayed %d times, want none", relays)
+	}
+	sim.checkJobStates(t, map[string]reducer.State{jobA: reducer.StateCompleted})
+}
+
 // TestNotCompletedWithoutPeers lets a job end while the ledger is down and no other instance
 // answers the holder. Callers must not see the job as completed, since a loss of the holder
 // would make it run again.
