Count a job as pending until one of its units has begun

Cause: the record of a placement counted as the begin of the job.

Change: the record of a unit says that it has begun, once all of its tasks were present. It goes with the renewal of the term, like Settled.

--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -195,6 +195,8 @@
 	// earlier versions.
 	Workers      []string `cbor:",omitempty"`
 	Incarnations []int64  `cbor:",omitempty"`
+	// Begun is set once all tasks of a run were present at the same time. It stays set.
+	Begun bool `cbor:",omitempty"`
 	// Settled is set once no start of the run that got no answer can be executed any more.
 	Settled bool `cbor:",omitempty"`
 	// LateStarts are the starts that may still be executed after the run is over. A unit
--- a/internal/workload/reducer/table.go
+++ b/internal/workload/reducer/table.go
@@ -25,8 +25,8 @@
 	Unreached map[string]Unreached
 	// Speeds holds what the holders have learned of the workers' speeds.
 	Speeds Speeds
-	// PendingByQueue counts, for each queue, the submitted jobs that have neither
-	// placed a task nor ended nor been cancelled.
+	// PendingByQueue counts, for each queue, the submitted jobs that have neither begun nor
+	// ended nor been cancelled.
 	PendingByQueue map[string]int
 }
 
@@ -38,7 +38,7 @@
 	// Outcome is set once the job has ended.
 	Outcome *Outcome
 	Units   map[UnitID]Unit
-	// Started is set once a task has been placed.
+	// Started is set once a unit has begun. A placement alone may have to wait for its start.
 	Started bool
 	// submitted is set once the submission has been applied. Records of other kinds
 	// may come first.
@@ -217,7 +217,8 @@
 	}
 	j := t.ensureJob(id.Job)
 	j.Units[id] = u
-	j.Started = true
+	// Records of earlier versions tell only by Settled that a unit runs.
+	j.Started = j.Started || u.Begun || u.Settled || u.Phase == PhaseDone
 	t.updatePending(j)
 	return nil
 }
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -161,15 +161,18 @@
 	}
 }
 
-// recordSettledUnits proposes the records of running units whose starts have all been executed
-// or can't be any more, so that a successor need not wait for them. The records go with the
-// renewal of the term.
+// recordSettledUnits proposes the records of running units that callers don't know to have
+// begun, or whose starts have all been executed or can't be any more, so that a successor need
+// not wait for them. The records go with the renewal of the term.
 func (m *Model) recordSettledUnits() {
 	m.unsettled = slices.DeleteFunc(m.unsettled, func(u *unit) bool {
 		if u.state != unitRunning || u.step.job.ended || u.record.Settled {
 			return true
 		}
 		if m.mayStartLate(u) {
+			if u.beginUnrecorded {
+				m.recordUnit(u)
+			}
 			return false
 		}
 		u.record.Settled = true
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -244,6 +244,7 @@
 	if e.Kind == EndFailed {
 		u.failed = true
 	}
+	u.record.Begun = true
 	m.stopRemaining(u, "a task ended: "+string(e.Kind))
 }
 
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -48,6 +48,8 @@
 	// termUnrecorded is set while the record does not say yet that starts are sent in this
 	// term.
 	termUnrecorded bool
+	// beginUnrecorded is set until a record is proposed that says that the unit has begun.
+	beginUnrecorded bool
 	// lateStarts counts removed runs whose starts may still be executed.
 	lateStarts int
 	// awaiting is set once the unit waits only for its late starts.
@@ -161,6 +163,9 @@
 	}
 	u.setState(unitRunning, m.now.MonoMS)
 	u.runningSinceMS = m.now.MonoMS
+	if !u.record.Begun {
+		u.record.Begun, u.beginUnrecorded = true, true
+	}
 	if !u.record.Settled {
 		m.unsettled = append(m.unsettled, u)
 	}
@@ -270,7 +275,7 @@
 // record is.
 func (m *Model) recordUnit(u *unit) {
 	ends := u.pendingEnds
-	u.pendingEnds = nil
+	u.pendingEnds, u.beginUnrecorded = nil, false
 	m.propose(reducer.UnitRecord(u.id, u.record), func(m *Model) { m.markEndsDurable(ends) })
 }
 
