Call a job unknown only by a table that is newer than the call

Cause: a table that was younger than 1.5 s counted as proof that the job did not exist, although another instance had accepted it since.

Change: such a call goes to other instances, and is refused as not run if none can tell; the same for the state of an unknown job.

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -247,14 +247,13 @@
 
 // cancel stores a cancellation, unless the job is unknown or already cancelled.
 func (a *Acceptor) cancel(ctx context.Context, c Call, id string) Answer {
+	asked := time.Now()
 	v := a.lookup(ctx, id)
 	switch {
 	case v.Known && v.Cancelled:
 		return Answer{Verdict: Cancelled}
-	case !v.Known && !a.isFresh(v):
-		return a.forward(ctx, c, "the table of jobs is out of date")
 	case !v.Known:
-		return Answer{Verdict: JobNotFound}
+		return a.unknown(ctx, c, v, asked)
 	}
 	answer := a.store(ctx, c, reducer.CancelRecord(id, reducer.Cancel{AtMS: time.Now().UnixMilli()}), Cancelled)
 	a.Reporter.Event("JobCancelRequested", "Job", id, "Verdict", answer.Verdict, "TableAgeMS", time.Since(v.AsOf).Milliseconds())
@@ -264,16 +263,24 @@
 // state reports the state of a job. A final state does not change any more, so it may come from
 // a table that is out of date.
 func (a *Acceptor) state(ctx context.Context, c Call, id string) Answer {
+	asked := time.Now()
 	v := a.lookup(ctx, id)
 	switch {
 	case v.Known && isFinal(v.State):
 		return Answer{Verdict: StateReported, State: v.State}
 	case v.Known:
 		return a.liveState(ctx, c, v)
-	case !a.isFresh(v):
-		return a.forward(ctx, c, "the table of jobs is out of date")
 	}
-	return Answer{Verdict: JobNotFound}
+	return a.unknown(ctx, c, v, asked)
+}
+
+// unknown answers a call for a job that the table lacks. Only a table that is newer than the
+// call shows that the job had not been accepted, possibly by another instance, before the call.
+func (a *Acceptor) unknown(ctx context.Context, c Call, v JobView, asked time.Time) Answer {
+	if v.AsOf.After(asked) {
+		return Answer{Verdict: JobNotFound}
+	}
+	return a.forward(ctx, c, "the table of jobs is older than the call")
 }
 
 // liveState reports the state of a job that has not ended. The holder is asked first: this
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -26,10 +26,12 @@
 	// appendErrors are the results of the first appends, in order; later appends succeed.
 	appendErrors []error
 	unreachable  bool
-	written      []reducer.Record
-	peer         *acceptor.Answer
-	holder       *acceptor.Answer
-	forwarded    []acceptor.Call
+	// cutOff is set if the table stays as it is.
+	cutOff    bool
+	written   []reducer.Record
+	peer      *acceptor.Answer
+	holder    *acceptor.Answer
+	forwarded []acceptor.Call
 }
 
 func (d *fakeDependencies) Job(_ context.Context, id string) (acceptor.JobView, bool) {
@@ -42,7 +44,11 @@
 	return 3, time.Now().Add(-d.tableAge), true
 }
 
-func (d *fakeDependencies) Refresh() { d.tableAge = min(d.tableAge, 0) }
+func (d *fakeDependencies) Refresh() {
+	if !d.cutOff {
+		d.tableAge = min(d.tableAge, 0)
+	}
+}
 
 func (d *fakeDependencies) Append(_ context.Context, r reducer.Record) error {
 	if len(d.appendErrors) > 0 {
@@ -161,6 +167,12 @@
 		{"cancelled", fakeDependencies{views: running}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.Cancelled, "", 1},
 		{"cancelled before", fakeDependencies{views: map[string]acceptor.JobView{id: {Known: true, Cancelled: true}}}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.Cancelled, "", 0},
 		{"cancelling an unknown job", fakeDependencies{}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.JobNotFound, "", 0},
+		// A table from before the call may lack a job that another instance has accepted since.
+		{"cancelling a job that an older table lacks: the call is forwarded", fakeDependencies{cutOff: true, tableAge: time.Second, peer: &acceptor.Answer{Verdict: acceptor.Cancelled}}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.Cancelled, "", 0},
+		{"cancelling a job that an older table lacks, and no peer", fakeDependencies{cutOff: true, tableAge: time.Second}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.NotRun, "", 0},
+		{"cancelling a job that no table has", fakeDependencies{cutOff: true, tableAge: time.Second, peer: &acceptor.Answer{Verdict: acceptor.JobNotFound}}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.JobNotFound, "", 0},
+		{"the state of a job that an older table lacks: the call is forwarded", fakeDependencies{cutOff: true, tableAge: time.Second, peer: reported}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.StateReported, reducer.StateFailed, 0},
+		{"the state of a job that an older table lacks, and no peer", fakeDependencies{cutOff: true, tableAge: time.Second}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.NotRun, "", 0},
 		{"counted", fakeDependencies{}, call(acceptor.KindState, "/p/", "key"), acceptor.PendingReported, "", 0},
 		{"an outdated count is not reported", fakeDependencies{tableAge: old}, call(acceptor.KindState, "/p/", "key"), acceptor.NotRun, "", 0},
 	} {
