--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -120,7 +120,8 @@
 }
 
 // askTimeout limits the wait for the holder's answer about a job, which is short because the
-// sender can fall back on an older answer of its own. It also limits the wait for an instance that takes relayed outcomes.
+// sender can fall back on an older answer of its own. It also limits the wait for an instance
+// that takes relayed outcomes.
 const askTimeout = 250 * time.Millisecond
 
 // Ask sends a call to the instance at an address.
