Tell a successor for how much longer a start may be executed

Cause: a successor counted 15.5 s from the end of the start's term, although its predecessor knew that the start would expire sooner.

Change: the record of a unit that waits tells for how much longer each start may be executed. Readers count from when they read it, and each holder records the rest again.

--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -219,6 +219,9 @@
 	// Member is the index in the step of the task.
 	Member int
 	Run    int
+	// WaitMS is for how much longer, at most, the start could be executed when the record was
+	// written.
+	WaitMS int64
 }
 
 // Crash records that a worker was lost while tasks of a unit may have been present there.
@@ -361,6 +364,16 @@
 	return kind == keyTerm || kind == keySpeeds || kind == kindUnit || kind == kindOutcome || kind == kindUnreached
 }
 
+// UnitRecordID returns the unit of a unit's record or tombstone, and false for any other record.
+func UnitRecordID(r Record) (id UnitID, ok bool) {
+	kind, name, _ := strings.Cut(r.Key, "/")
+	if kind != kindUnit {
+		return id, false
+	}
+	id, err := ParseUnitID(name)
+	return id, err == nil
+}
+
 // IsTermRecord reports whether the record is one of a term.
 func IsTermRecord(r Record) bool { return r.Key == keyTerm }
 
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -56,7 +56,7 @@
 	add := func(runs []*run) {
 		for _, r := range runs {
 			if r.blocked == u {
-				starts = append(starts, reducer.LateStart{Worker: r.worker.ID, Member: r.ref.Member, Run: r.ref.Run})
+				starts = append(starts, reducer.LateStart{Worker: r.worker.ID, Member: r.ref.Member, Run: r.ref.Run, WaitMS: max(r.lateStartUntilMS-m.now.MonoMS, 0)})
 			}
 		}
 	}
@@ -67,20 +67,48 @@
 	return starts
 }
 
+// noteLateStarts remembers when this process read the record of a unit that waits for late
+// starts.
+func (m *Model) noteLateStarts(id reducer.UnitID) {
+	if j, ok := m.Table.Jobs[id.Job]; ok && len(j.Units[id].LateStarts) > 0 {
+		m.lateStartsReadMS[id] = m.now.MonoMS
+		return
+	}
+	delete(m.lateStartsReadMS, id)
+}
+
+// lateStartExpiresMS returns until when a recorded start may be executed: as long as the record
+// says, counted from when it was read, but no longer than the terms allow.
+func (m *Model) lateStartExpiresMS(u *unit, s reducer.LateStart) int64 {
+	expiresMS := m.startsExpireMS(u.record.Term)
+	if readMS, known := m.lateStartsReadMS[u.id]; known {
+		expiresMS = min(expiresMS, readMS+s.WaitMS)
+	}
+	return expiresMS
+}
+
 // adoptLateStarts restores a unit whose run is over and that waits only for late starts. None
-// of its tasks is adopted: what the workers still list of them was handled before.
+// of its tasks is adopted: what the workers still list of them was handled before. The rest of
+// the wait is recorded again, for processes that have started since it was.
 func (m *Model) adoptLateStarts(u *unit) {
 	u.setState(unitStopping, m.now.MonoMS)
 	u.awaiting, u.stopReason = true, "an earlier holder has stopped it"
+	forMS := int64(0)
 	for _, s := range u.record.LateStarts {
+		untilMS := m.lateStartExpiresMS(u, s)
+		forMS = max(forMS, untilMS-m.now.MonoMS)
 		m.lateStarts = append(m.lateStarts, &run{
 			ref: TaskRef{Unit: u.id, Member: s.Member, Run: s.Run}, worker: m.worker(s.Worker), need: u.step.spec.Reserved(),
-			state: runStopping, lateStartUntilMS: m.startsExpireMS(u.record.Term), blocked: u,
+			state: runStopping, lateStartUntilMS: untilMS, blocked: u,
 		})
 		m.lateStartCounts[s.Worker]++
 		u.lateStarts++
 	}
-	m.event("LateStartsAdopted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "SinceTerm", u.record.Term, "ForMS", m.startsExpireMS(u.record.Term)-m.now.MonoMS, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes))
+	if forMS > 0 {
+		u.record.LateStarts = m.lateStartsOf(u)
+		m.recordUnit(u)
+	}
+	m.event("LateStartsAdopted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "SinceTerm", u.record.Term, "ForMS", forMS, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes))
 }
 
 // unansweredStarts counts the runs whose starts got no answer and may still be executed by
--- a/internal/workload/scheduler/many_terms_wait_test.go
+++ b/internal/workload/scheduler/many_terms_wait_test.go
@@ -119,3 +119,29 @@
 		t.Errorf("%d starts, want 2: the second holder must complete the gang", starts)
 	}
 }
+
+// TestSuccessorWaitsNoLonger guards against a wait for late starts that is prolonged by a change
+// of the holder, although the holder of the starts knew when they would expire.
+func TestSuccessorWaitsNoLonger(t *testing.T) {
+	// The last of the starts is sent before 5 s and executed before 18 s; the worker reports
+	// within 0.5 s.
+	const maxStartMS = 18500
+	sim := newSmallFleet(t)
+	sim.traceJob(*tracedJob)
+	h := sim.holdUpStarts(jobA, 0, everyStart, 14900)
+	sim.submit("render", "a", jobA, independentTasks(1, 8, lateStartWorkMS))
+	sim.run(5500)
+	h.max = h.sent
+	for sim.nowMS < 60000 && len(sim.checker.jobs[jobA].startTimesMS) == 0 {
+		sim.run(sim.nowMS + 4000)
+		if i := sim.holder(); i != nil && sim.nowMS < 16000 {
+			i.kill()
+			sim.after(1000, i.start)
+		}
+	}
+	if starts := sim.checker.jobs[jobA].startTimesMS; len(starts) == 0 || starts[0] > maxStartMS {
+		t.Errorf("the task was started at %v ms, want once before %d ms", starts, maxStartMS)
+	}
+	sim.run(sim.nowMS + 30000)
+	sim.expectNoViolations(t)
+}
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -188,6 +188,9 @@
 	termBegunMS     map[uint64]int64
 	// lostTermMS is when this process last saw each instance lose the term.
 	lostTermMS map[string]int64
+	// lateStartsReadMS is, for each unit that waits for late starts, when this process read
+	// the record that says so.
+	lateStartsReadMS map[reducer.UnitID]int64
 	// unreachedReadMS is, for each worker, when this process read the latest record
 	// saying that a holder has not reached the worker.
 	unreachedReadMS map[string]int64
@@ -259,7 +262,7 @@
 func New(cfg Config) *Model {
 	return &Model{
 		Table: reducer.New(), Config: &describer.Configuration{}, cfg: cfg,
-		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, termBegunMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, lateStartCounts: map[string]int{}, unreachedReadMS: map[string]int64{}, pendingOutcomes: map[string]*pendingOutcome{},
+		tableAsOfMS: neverMS, listAsOfMS: neverMS, workers: map[string]*worker{}, jobs: map[string]*job{}, pendingStores: map[uint64]bool{}, termFirstSeenMS: map[uint64]int64{}, termBegunMS: map[uint64]int64{}, lostTermMS: map[string]int64{}, lateStartCounts: map[string]int{}, unreachedReadMS: map[string]int64{}, lateStartsReadMS: map[reducer.UnitID]int64{}, pendingOutcomes: map[string]*pendingOutcome{},
 	}
 }
 
@@ -460,6 +463,9 @@
 	if reducer.IsTermRecord(r) {
 		m.noteTermAges()
 	}
+	if id, ok := reducer.UnitRecordID(r); ok {
+		m.noteLateStarts(id)
+	}
 	if reducer.IsHolderRecord(r) {
 		m.term.silentSinceMS = m.now.MonoMS
 		m.liveness.silentTerm, m.term.provenTerm = 0, 0
@@ -478,6 +484,12 @@
 	m.Table, m.loaded, m.tableAsOfMS = msg.Table, true, max(m.tableAsOfMS, m.agedMS(msg.AsOfMS))
 	m.term.silentSinceMS = m.now.MonoMS
 	m.noteTermAges()
+	clear(m.lateStartsReadMS)
+	for _, j := range m.Table.Jobs {
+		for id := range j.Units {
+			m.noteLateStarts(id)
+		}
+	}
 	for worker := range m.Table.Unreached {
 		m.unreachedReadMS[worker] = m.now.MonoMS
 	}
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -260,10 +260,10 @@
 	first := !u.awaiting
 	if first {
 		u.awaiting = true
-		u.record.LateStarts = m.lateStartsOf(u)
 		m.event("UnitAwaitsStarts", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes), "Reason", u.stopReason)
 	}
 	if first || len(u.pendingEnds) > 0 {
+		u.record.LateStarts = m.lateStartsOf(u)
 		m.recordUnit(u)
 	}
 	if first {
