--- a/internal/workload/scheduler/many_terms_wait_test.go
+++ b/internal/workload/scheduler/many_terms_wait_test.go
@@ -145,3 +145,27 @@
 	sim.run(sim.nowMS + 30000)
 	sim.expectNoViolations(t)
 }
+
+// TestSuccessorOfRunningUnitWaitsNoLonger guards against the same for a unit that was running when
+// the holder was lost, although an earlier start of it had no answer yet. Its worker restarts
+// later, and executes that start at 14 s.
+func TestSuccessorOfRunningUnitWaitsNoLonger(t *testing.T) {
+	// The first start is sent before 3.5 s and executed before 16.5 s; the worker reports
+	// within 0.5 s.
+	const maxStartMS = 17000
+	sim := newSmallFleet(t)
+	sim.traceJob(*tracedJob)
+	sim.holdUpFirstStarts(11000, jobA+"/0")
+	sim.submit("render", "a", jobA, independentTasks(1, 8, lateStartWorkMS))
+	sim.run(8000)
+	sim.holder().kill()
+	sim.run(12000)
+	f := sim.workerRunning(t, jobA)
+	f.crash(100)
+	sim.run(60000)
+	starts := sim.checker.jobs[jobA].startTimesMS
+	if last := starts[len(starts)-1]; last < 14500 || last > maxStartMS {
+		t.Errorf("the task was started at %v ms, want it placed again before %d ms", starts, maxStartMS)
+	}
+	sim.expectNoViolations(t)
+}
