Take back the recorded expiry of starts of running units

Cause: with the expiry of running units came a longer wait for silent workers, which counts renewals that are executed late.

--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -199,9 +199,6 @@
 	Begun bool `cbor:",omitempty"`
 	// Settled is set once no start of the run that got no answer can be executed any more.
 	Settled bool `cbor:",omitempty"`
-	// SettlesMS is for how much longer, at most, starts of a unit that runs could be executed
-	// when the record was written, 0 if that is not known.
-	SettlesMS int64 `cbor:",omitempty"`
 	// LateStarts are the starts that may still be executed after the run is over. A unit
 	// that has any waits for them: nothing else of the run is left, and its end is already
 	// counted.
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -47,9 +47,7 @@
 	holdInFlight bool
 	// holdQueued is set while a hold waits to be sent.
 	holdQueued bool
-	// grantingHold is set if the latest hold extends the lease.
-	grantingHold bool
-	holdSentMS   int64
+	holdSentMS int64
 	// reportAsOfMS is when the hold was sent that the latest report answers.
 	reportAsOfMS int64
 	// nextHoldMS is the earliest time of the next hold.
@@ -70,8 +68,6 @@
 	// confirmingEnd is the confirmation that the hold in flight carries, confirmationAnswered
 	// the highest one that was answered.
 	confirmingEnd, confirmationAnswered int64
-	// lateGrantUntilMS is until when a failed hold may be executed that extends the lease.
-	lateGrantUntilMS int64
 	// lateConfirmationUntilMS is until when an unanswered confirmation may be executed.
 	lateConfirmationUntilMS int64
 }
@@ -204,7 +200,7 @@
 			cmd.DeadlineMS = m.grantLease(w)
 		}
 	}
-	w.confirmingEnd, w.grantingHold = cmd.ConfirmedEnd, cmd.DeadlineMS > 0
+	w.confirmingEnd = cmd.ConfirmedEnd
 	m.emit(cmd)
 }
 
@@ -266,9 +262,6 @@
 // maxHoldPauseMS.
 func (m *Model) handleHoldFailure(w *worker, err string) {
 	w.holdFailures++
-	if w.grantingHold {
-		w.lateGrantUntilMS = w.holdSentMS + maxOrderDelayMS
-	}
 	if w.confirmingEnd > 0 {
 		w.lateConfirmationUntilMS = w.holdSentMS + maxOrderDelayMS
 	}
