--- a/internal/workload/scheduler/checker_test.go
+++ b/internal/workload/scheduler/checker_test.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/reducer"
 	"daisyhead/internal/workload/scheduler"
 )
 
@@ -185,16 +186,16 @@
 	return true
 }
 
-// checkShownCompleted checks that all steps of a job have ended, and that its outcome is
-// durable, when callers first see it as completed.
+// checkShownCompleted checks that all steps of a job have ended, and that the ledger says that
+// it is completed, when callers first see it so.
 func (c *invariantChecker) checkShownCompleted(sim *simulation, id string) {
 	job, nowMS := c.jobs[id], sim.nowMS
 	if job.shownCompletedMS > 0 {
 		return
 	}
 	job.shownCompletedMS = nowMS
-	if !sim.ledger.durablyCompleted(id) {
-		c.addViolation("at %d ms: job %s was shown as completed before its outcome was durable", nowMS, id)
+	if sim.jobState(id) != reducer.StateCompleted {
+		c.addViolation("at %d ms: job %s was shown as completed before that was durable", nowMS, id)
 	}
 	for step := range job.steps {
 		if !c.stepDone(id, step) {
--- a/internal/workload/scheduler/count_once_test.go
+++ b/internal/workload/scheduler/count_once_test.go
@@ -8,8 +8,8 @@
 	"daisyhead/internal/workload/scheduler"
 )
 
-// holdUpFirstStarts leaves the first start of run 1 of the job's task without an answer and
-// executes it late. Its repetition is answered.
+// holdUpFirstStarts leaves the first start of run 1 of each task without an answer and executes
+// it late. Its repetition is answered. Tasks are named JOB/MEMBER.
 func (sim *simulation) holdUpFirstStarts(delayMS int64, tasks ...string) {
 	sent := map[string]bool{}
 	sim.lateOrder = func(_ string, c scheduler.Command) (int64, bool) {
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -30,7 +30,7 @@
 	if term > 0 {
 		next = min(term+1, next)
 	}
-	return m.termSeenSince(next) + predecessorDelayMS
+	return m.termBegunSince(next) + predecessorDelayMS
 }
 
 // trackLateStart remembers a removed run if a start of it may still reach the worker. The
@@ -77,9 +77,9 @@
 	delete(m.lateStartsReadMS, id)
 }
 
-// lateStartExpiresMS returns until when a recorded start may be executed: as long as the record
+// recordedExpiryMS returns until when a recorded start may be executed: as long as the record
 // says, counted from when it was read, but no longer than the terms allow.
-func (m *Model) lateStartExpiresMS(u *unit, s reducer.LateStart) int64 {
+func (m *Model) recordedExpiryMS(u *unit, s reducer.LateStart) int64 {
 	expiresMS := m.startsExpireMS(u.record.Term)
 	if readMS, known := m.lateStartsReadMS[u.id]; known {
 		expiresMS = min(expiresMS, readMS+s.WaitMS)
@@ -95,7 +95,7 @@
 	u.awaiting, u.stopReason = true, "an earlier holder has stopped it"
 	forMS := int64(0)
 	for _, s := range u.record.LateStarts {
-		untilMS := m.lateStartExpiresMS(u, s)
+		untilMS := m.recordedExpiryMS(u, s)
 		forMS = max(forMS, untilMS-m.now.MonoMS)
 		m.lateStarts = append(m.lateStarts, &run{
 			ref: TaskRef{Unit: u.id, Member: s.Member, Run: s.Run}, worker: m.worker(s.Worker), need: u.step.spec.Reserved(),
@@ -108,7 +108,7 @@
 		u.record.LateStarts = m.lateStartsOf(u)
 		m.recordUnit(u)
 	}
-	m.event("LateStartsAdopted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "SinceTerm", u.record.Term, "ForMS", forMS, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes))
+	m.event("LateStartsAdopted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "Starts", u.lateStarts, "StartTerm", u.record.Term, "ForMS", forMS, "Failures", u.record.Failures, "Crashes", len(u.record.Crashes))
 }
 
 // unansweredStarts counts the runs whose starts got no answer and may still be executed by
@@ -150,7 +150,9 @@
 
 // lateStartSettled reports whether the run is not present on its worker and can't start any
 // more: a report that was requested after its start's longest delay does not show it, or the
-// lease of a run that started last of all has expired.
+// lease of a run that started last of all has expired, and so has every lease that a holder
+// granted the worker. Renewals that are executed late on a worker that has restarted unnoticed
+// are not counted; see TestLateRenewalAfterUnnoticedRestart.
 func (m *Model) lateStartSettled(r *run) bool {
 	if m.now.MonoMS < r.lateStartUntilMS {
 		return false
--- a/internal/workload/scheduler/many_terms_wait_test.go
+++ b/internal/workload/scheduler/many_terms_wait_test.go
@@ -74,15 +74,15 @@
 	if len(f.ends) != 1 {
 		t.Fatalf("the worker lists %d ends, want 1", len(f.ends))
 	}
-	for sim.nowMS < 60000 && len(f.ends) > 0 {
-		if i := sim.holder(); i != nil {
+	for sim.nowMS < maxListedMS && len(f.ends) > 0 {
+		if i := sim.holder(); i != nil && sim.nowMS%5000 == 1000 {
 			i.kill()
 			sim.after(1000, i.start)
 		}
-		sim.run(sim.nowMS + 5000)
+		sim.run(sim.nowMS + 50)
 	}
-	if sim.nowMS > maxListedMS+5000 || len(f.ends) > 0 {
-		t.Errorf("at %d ms: the worker lists %d ends, want none from %d ms on", sim.nowMS, len(f.ends), maxListedMS)
+	if len(f.ends) > 0 {
+		t.Errorf("at %d ms: the worker lists %d ends, want none", sim.nowMS, len(f.ends))
 	}
 }
 
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -198,14 +198,6 @@
 	sim.ledger.records = append(sim.ledger.records, r)
 }
 
-// durablyCompleted reports whether the ledger holds the outcome of a completed job.
-func (l *ledger) durablyCompleted(id string) bool {
-	return slices.ContainsFunc(l.records, func(r reducer.Record) bool {
-		job, ok := reducer.OutcomeJobID(r)
-		return ok && job == id && len(r.Value) > 0
-	})
-}
-
 // jobState returns a job's state according to the ledger, or "" if it is unknown.
 func (sim *simulation) jobState(id string) reducer.State {
 	t := reducer.New()
--- a/internal/workload/scheduler/term_ages.go
+++ b/internal/workload/scheduler/term_ages.go
@@ -40,9 +40,9 @@
 	}
 }
 
-// termSeenSince returns a time at which the term or a later one had begun: the earliest that is
+// termBegunSince returns a time at which the term or a later one had begun: the earliest that is
 // known, or the current time if none is.
-func (m *Model) termSeenSince(term uint64) int64 {
+func (m *Model) termBegunSince(term uint64) int64 {
 	earliest := m.now.MonoMS
 	for number, at := range m.termBegunMS {
 		if number >= term {
@@ -60,7 +60,7 @@
 		if n == 0 {
 			break
 		}
-		age := m.now.MonoMS - m.termSeenSince(n)
+		age := m.now.MonoMS - m.termBegunSince(n)
 		ages = append(ages, reducer.TermAge{Number: n, AgeMS: age})
 		if age > predecessorDelayMS {
 			break
--- a/internal/workload/scheduler/unreached.go
+++ b/internal/workload/scheduler/unreached.go
@@ -15,7 +15,7 @@
 	if !ok || u.LastTerm+1 != m.term.number {
 		return m.now.MonoMS
 	}
-	return min(m.termSeenSince(u.FirstTerm), m.unreachedReadMS[worker]-u.AgeMS)
+	return min(m.termBegunSince(u.FirstTerm), m.unreachedReadMS[worker]-u.AgeMS)
 }
 
 // proposeUnreachedWorkers proposes a record for each worker with tasks that this holder
--- a/internal/workload/scheduler/waits.go
+++ b/internal/workload/scheduler/waits.go
@@ -62,8 +62,8 @@
 	Unit   string
 	Run    int
 	Worker string
-	// Term is the latest term in which the start may have been sent.
-	Term uint64
+	// StartTerm is the latest term in which the start may have been sent.
+	StartTerm uint64
 	// ForMS is for how much longer it may be executed. From then on the unit waits for a
 	// report of the worker or the end of its lease.
 	ForMS int64
@@ -76,7 +76,7 @@
 func (m *Model) lateStartWaits(s *step) (waits []LateStartWait) {
 	for _, r := range m.lateStarts {
 		if u := r.blocked; u != nil && u.step == s && u.awaiting && len(waits) < maxLateStartWaits {
-			waits = append(waits, LateStartWait{Unit: u.id.String(), Run: r.ref.Run, Worker: r.worker.ID, Term: u.record.Term, ForMS: max(r.lateStartUntilMS-m.now.MonoMS, 0)})
+			waits = append(waits, LateStartWait{Unit: u.id.String(), Run: r.ref.Run, Worker: r.worker.ID, StartTerm: u.record.Term, ForMS: max(r.lateStartUntilMS-m.now.MonoMS, 0)})
 		}
 	}
 	return waits
--- a/internal/workload/scheduler/waits_test.go
+++ b/internal/workload/scheduler/waits_test.go
@@ -118,7 +118,7 @@
 		}
 		forMS := waits[0].ForMS
 		waits[0].ForMS = 0
-		want := scheduler.LateStartWait{Unit: jobA + ".0.0.0", Run: 1, Worker: h.worker.id, Term: 1}
+		want := scheduler.LateStartWait{Unit: jobA + ".0.0.0", Run: 1, Worker: h.worker.id, StartTerm: 1}
 		if diff := cmp.Diff(want, waits[0]); diff != "" {
 			t.Errorf("in term %d (-want +got):\n%s", term, diff)
 		}
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -135,7 +135,8 @@
 }
 
 // checkWorkers keeps a hold in flight for each worker, and removes a silent worker's runs
-// once its lease has certainly expired.
+// once its lease has certainly expired. A worker that is no longer listed stays known while a
+// unit waits for late starts there, since its leases bound that wait.
 func (m *Model) checkWorkers() {
 	m.proposeUnreachedWorkers()
 	for _, w := range slices.Clone(m.fleet) {
