review: case 9, tasks that last stay down for a whole lease

Rule: LOST, a task that lasts has no run for 3 s, later than 6 s after its last run. Disruption: one of 16 minions is lost for good, four times (srv_crash, gone).

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -20,6 +20,7 @@
 	"crashes":   crashes,
 	"guarantee": guarantee,
 	"hangup":    hangup,
+	"gone":      gone,
 	"widegang":  widegang,
 }
 
--- a/review/harness-2/minion.go
+++ b/review/harness-2/minion.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// crash ends the life: everything that runs is gone. The next life begins after back.
+// crash ends the life: everything that runs is gone. The next life begins after back, or never
+// if that is negative.
 func (m *minion) crash(back time.Duration) {
 	f := m.fleet
 	f.mu.Lock()
@@ -176,6 +177,9 @@
 	f.record.write("minion", "%s at %s crashes, back in %v", m.id, m.address, back)
 	f.mu.Unlock()
 	server.Close()
+	if back < 0 {
+		return
+	}
 	time.AfterFunc(back, func() {
 		if err := m.begin(); err != nil {
 			f.record.write("minion", "%s does not come back: %v", m.address, err)
--- a/review/harness-2/platform.go
+++ b/review/harness-2/platform.go
@@ -21,7 +21,6 @@
 	serviceName = "rese1a"
 	zoneName    = "bilbao"
 	heartbeatMS = 1500
-	holdMaxMS   = 6000
 	gangMS      = 3000
 	stopMS      = 400
 	graceMS     = 6000
@@ -32,6 +31,10 @@
 	deadlineMS  = 3000
 )
 
+// holdMaxMS is the longest lease that minions accept: that of arrieta-daisy, unless a case takes
+// another site's.
+var holdMaxMS int64 = 6000
+
 // recorder writes record.txt.
 type recorder struct {
 	mu    sync.Mutex
