--- a/review/harness-2/widegang.go
+++ b/review/harness-2/widegang.go
@@ -2,15 +2,16 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
-// widegang plays one gang of very many small tasks, and small jobs after it. The small jobs must
-// be run (LOST).
+// widegang plays one gang of very many small tasks that fits into a fraction of the fleet, and a
+// stream of small urgent jobs within their tenant's guarantee (LOST, RECLAIM).
 func widegang(record *recorder, trouble bool) (broken []string, err error) {
 	const (
-		gangTasks = 14000
-		watchFor  = 60 * time.Second
+		gangTasks = 13000
+		playFor   = 70 * time.Second
 	)
 	d, err := newDeployment(record, 3, 8, 4, resources{64000, 131072, 8})
 	if d != nil {
@@ -21,8 +22,18 @@
 		return nil, err
 	}
 	plain := route{Name: "r-plain", Host: "nony24.example", PathPrefix: "/pule252/", Service: serviceName, Priority: 1, Attempts: 4, Stretch: 3, SLOMS: 1000, TimeoutMS: 3000, Kind: "unsafe"}
+	urgent := route{Name: "r-urgent", Host: "ficu95.example", PathPrefix: "/pufi791/", Service: serviceName, Priority: 0, Attempts: 3, Stretch: 1.5, SLOMS: 250, TimeoutMS: 3000, Kind: "unsafe"}
 	const key = "d4a3hwrr6x73d3zji9n7"
-	d.configure([]route{plain}, []tenant{{Name: "kaje80", APIKeys: []string{key}, Priority: 1, Guaranteed: map[string]int{"gpu": 8}}})
+	d.configure([]route{plain, urgent}, []tenant{{Name: "kaje80", APIKeys: []string{key}, Priority: 1, Guaranteed: map[string]int{"gpu": 32}}})
+	var mu sync.Mutex
+	starts := map[string]time.Time{}
+	d.fleet.onStart = func(_ *minion, r *run) {
+		mu.Lock()
+		defer mu.Unlock()
+		if _, ok := starts[r.task]; !ok {
+			starts[r.task] = time.Now()
+		}
+	}
 	if err := d.startAll(); err != nil {
 		return nil, err
 	}
@@ -36,19 +47,29 @@
 	}
 	time.Sleep(3 * time.Second)
 	var jobs []*job
-	for n := range 4 {
-		j := &job{id: newID(), route: plain, key: key, Spec: "small", Steps: []step{{Count: 2, CPU: 7500, MemMB: 8000, GPU: 1, EstimateMS: 2500, work: 2500 * time.Millisecond}}}
-		if c.submit(j, n) {
+	refused := 0
+	for began := time.Now(); time.Since(began) < playFor; time.Sleep(800 * time.Millisecond) {
+		j := &job{id: newID(), route: urgent, key: key, Spec: "small", Steps: []step{{Count: 2, CPU: 7500, MemMB: 8000, GPU: 1, EstimateMS: 2500, work: 2500 * time.Millisecond}}}
+		if c.submit(j, len(jobs)) {
 			jobs = append(jobs, j)
 		} else {
-			broken = append(broken, fmt.Sprintf("job %s was not accepted in five attempts", j.id))
+			refused++
 		}
 	}
-	time.Sleep(watchFor)
-	for n, j := range jobs {
-		if status, state := c.state(j, n); status != 200 || state != "completed" {
-			broken = append(broken, fmt.Sprintf("job %s is shown as %d %q %v after its acknowledgement, although the fleet has nearly nothing to do", j.id, status, state, time.Since(j.acceptedAt).Round(time.Second)))
+	time.Sleep(4 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, j := range jobs {
+		for i := range j.Steps[0].Count {
+			at, ok := starts[fmt.Sprintf("%s.0.0.%d", j.id, i)]
+			if !ok {
+				at = time.Now()
+			}
+			if gap := at.Sub(j.acceptedAt); gap > reclaimMS*time.Millisecond {
+				broken = append(broken, fmt.Sprintf("task %d of job %s: %d ms after the acknowledgement, begun: %t", i, j.id, gap.Milliseconds(), ok))
+			}
 		}
 	}
+	record.write("case", "%d jobs accepted, %d not, %d tasks late", len(jobs), refused, len(broken))
 	return broken, nil
 }
