review: case 6, work given to a lost minion waits for over 17 s on an idle fleet

Rule: LOST, at the end of the traffic accepted jobs have nothing running though there is room. Disruption: a seventh of the minions is lost for good, twice, in the last 4 s (srv_crash, dark gone).

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -17,11 +17,11 @@
 type caseFunc func(record *recorder, trouble bool) (broken []string, err error)
 
 var cases = map[string]caseFunc{
-	"crashes":   crashes,
 	"guarantee": guarantee,
 	"hangup":    hangup,
 	"gone":      gone,
-	"widegang":  widegang,
+	"lost":      lost,
+	"successor": successor,
 }
 
 const (
--- a/review/harness-2/minion.go
+++ b/review/harness-2/minion.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -37,7 +38,10 @@
 	// onStart and onEnd, if set, are called with the lock held.
 	onStart func(m *minion, r *run)
 	onEnd   func(m *minion, r *run, how string)
-	ids     int
+	// late, if set, tells for how long a start is left without an answer before it is carried
+	// out; it is called with the lock held.
+	late func(m *minion, o order) (time.Duration, bool)
+	ids  int
 }
 
 // run is one run of a task on a minion.
@@ -67,8 +71,10 @@
 	capacity resources
 	born     time.Time
 	// life counts the lives. down is set between two of them.
-	life       int
-	down       bool
+	life int
+	down bool
+	// dark is set once the machine is lost: calls to it get no answer.
+	dark       bool
 	server     *http.Server
 	token      uint64
 	leaseUntil time.Time
@@ -189,6 +195,34 @@
 	})
 }
 
+// vanish loses the machine for good: everything that runs is gone, and open and new connections
+// stay without an answer.
+func (m *minion) vanish() {
+	f := m.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.down, m.dark = true, true
+	for _, r := range m.runs {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+		f.record.write("minion", "%s is lost with %s run %d", m.id, r.task, r.number)
+		if f.onEnd != nil {
+			f.onEnd(m, r, "lost")
+		}
+	}
+	m.runs, m.ends = map[string]*run{}, nil
+	f.record.write("minion", "%s at %s is lost for good", m.id, m.address)
+}
+
+// keepSilent never answers a call. The caller holds the lock.
+func (m *minion) keepSilent(r *http.Request) {
+	m.fleet.mu.Unlock()
+	<-r.Context().Done()
+	m.fleet.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
 // end ends a run and lists its end. The caller holds the lock.
 func (m *minion) end(r *run, how string) {
 	if m.runs[r.task] != r {
@@ -257,6 +291,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
+	case m.dark:
+		m.keepSilent(r)
 	case m.down:
 		panic(http.ErrAbortHandler)
 	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != m.id:
@@ -265,7 +301,26 @@
 	case err != nil:
 		answer(w, http.StatusBadRequest, map[string]any{"clock_ms": m.clock()})
 		return
-	case o.Token < m.token:
+	}
+	if f.late != nil && r.URL.Path == "/-/run-start" {
+		if after, ok := f.late(m, o); ok {
+			life := m.life
+			time.AfterFunc(after, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				if !m.down && m.life == life {
+					m.execute(httptest.NewRecorder(), r, o)
+				}
+			})
+			m.keepSilent(r)
+		}
+	}
+	m.execute(w, r, o)
+}
+
+// execute carries out an order. The caller holds the lock.
+func (m *minion) execute(w http.ResponseWriter, r *http.Request, o order) {
+	if o.Token < m.token {
 		answer(w, http.StatusConflict, map[string]any{"clock_ms": m.clock(), "reason": "fence"})
 		return
 	}
@@ -386,6 +441,9 @@
 		case <-r.Context().Done():
 		}
 		m.fleet.mu.Lock()
+		if m.dark {
+			m.keepSilent(r)
+		}
 		if m.down || m.life != life {
 			panic(http.ErrAbortHandler)
 		}
