scheduler: read nothing for an Inspect that has returned

Inspect returned when its context ended, and the control loop called the reader later, which then wrote variables of a caller that had gone on: a data race in holderAddress, jobTable and watchControlLoop. The race detector found it with whole instances in one process. The reader is now claimed by whoever comes first, the control loop or the end of the context.

--- a/internal/workload/scheduler/loop.go
+++ b/internal/workload/scheduler/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 )
 
@@ -105,10 +106,18 @@
 }
 
 // Inspect runs read in the control goroutine and waits until it returns. It returns
-// false if the loop or the context ended before.
+// false if the loop or the context ended before. Read does not run after Inspect has
+// returned, so that it may set variables of the caller.
 func (l *Loop) Inspect(ctx context.Context, read func(*Model)) bool {
 	done := make(chan struct{})
-	if !l.Send(InspectMsg{Read: read, Done: done}) {
+	// taken is set by the one that comes first: the start of read or the end of the context.
+	var taken atomic.Bool
+	readUnlessAbandoned := func(m *Model) {
+		if taken.CompareAndSwap(false, true) {
+			read(m)
+		}
+	}
+	if !l.Send(InspectMsg{Read: readUnlessAbandoned, Done: done}) {
 		return false
 	}
 	select {
@@ -117,6 +126,10 @@
 	case <-l.done:
 		return false
 	case <-ctx.Done():
-		return false
+		if taken.CompareAndSwap(false, true) {
+			return false
+		}
+		<-done
+		return true
 	}
 }
