Keep the term and go on accepting while the store is slow

When the store answered 92 times more slowly for all, the instances saturated the one partition of the ledger themselves: the holder repeated its append after 300 ms, asked others to take over, each of which made a probe append, up to 30 claimed the term, and all appended callers' records directly after 1.5 s.

Each instance now estimates the latency of the ledger from its own reads. Time limits of appends and reads, the silence before a claim and the pauses between ranks grow with it. A holder whose reads are answered late asks nobody to take over because of an unanswered append, an instance for which the ledger is slow too declines without a probe, and instances wait for a holder that answers instead of appending directly.

The holder no longer queues callers' records behind an append that is refused or overdue. They can be refused truly as soon as it is known that the holder can't append, and the instance that took the call appends the record itself if a read of the ledger is answered.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -129,6 +129,9 @@
 	inst.writer = follower.NewWriter(deps.Ledger)
 	handler := &follower.LedgerHandler{Sink: inst.loop, Reporter: deps.Reporter, Start: inst.start, OnRecovery: inst.writer.RetryInFlight}
 	inst.ledger = follower.NewReader(deps.Ledger, handler, inst.ledgerPace)
+	inst.ledger.Latency.OnSample, inst.ledger.Latency.OnUnanswered = handler.SampleLatency, handler.ReportUnanswered
+	inst.writer.SetLatencySource(inst.ledger)
+	inst.meter.watchLatency(inst.ledger)
 	inst.config = &follower.ConfigHandler{Sink: inst.loop, Reporter: deps.Reporter}
 	inst.workerReader = &workerReader{feed: deps.WorkerFeed, handler: &follower.WorkerList{Sink: inst.loop, Reporter: deps.Reporter, Start: inst.start}}
 	inst.storer = &storer{instance: inst, ledger: handler}
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -145,12 +145,21 @@
 	return msg
 }
 
-// probe measures how long it takes to write this instance's record again.
+// probe measures how long it takes to write this instance's record again. It writes nothing if
+// a read is not answered soon: the ledger may be slow for all instances, and an append would
+// delay those of the holder.
 func (d dispatcher) probe(c scheduler.ProbeCmd) scheduler.ProbedMsg {
 	ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
 	defer cancel()
 	began := time.Now()
+	readCtx, cancelRead := context.WithTimeout(ctx, follower.SlowLatency)
+	defer cancelRead()
+	if err := d.instance.ledger.CheckLatency(readCtx); err != nil {
+		return scheduler.ProbedMsg{Term: c.Term, TookMS: time.Since(began).Milliseconds(), Err: "read before the append: " + err.Error()}
+	}
 	err := d.instance.writer.Append(ctx, d.instance.record())
+	// A claim needs a recent table.
+	d.instance.ledger.ReadNow()
 	return scheduler.ProbedMsg{Term: c.Term, TookMS: time.Since(began).Milliseconds(), Err: errorText(err)}
 }
 
--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"daisyhead/internal/workload/follower"
 	"daisyhead/internal/workload/scheduler"
 )
 
@@ -61,6 +62,16 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 }
 
+// watchLatency registers the gauge of the ledger's estimated latency.
+func (m *meter) watchLatency(s follower.LatencySource) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "daisyhead_ledger_latency_seconds", Help: "Estimated latency of the ledger by its reads, 0 if it is unknown.",
+	}, func() float64 {
+		latency, _ := s.EstimatedLatency()
+		return latency.Seconds()
+	}))
+}
+
 // setOrderStats sets the gauges of the way to the workers.
 func (m *meter) setOrderStats(s scheduler.OrderStats) {
 	m.ordersInFlight.Set(float64(s.InFlight))
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -15,9 +15,13 @@
 
 // holderTimeout limits the wait for the holder before an instance writes a record itself. It
 // is half of the time that callers usually wait. A record that is written twice counts once,
-// but on a slow platform the second write delays all others.
+// but on a slow platform the second write delays all others: then the instance waits on while
+// the holder's process answers.
 const holderTimeout = 1500 * time.Millisecond
 
+// holderCheckInterval is the pause before a holder that has not answered is looked at again.
+const holderCheckInterval = 300 * time.Millisecond
+
 // holderRetryPause is the pause before the holder is looked up again.
 const holderRetryPause = 50 * time.Millisecond
 
@@ -39,10 +43,14 @@
 	waiting       map[uint64]chan scheduler.StoreResult
 }
 
+// errHolderChanged means that another instance has become the holder while the record was with
+// its predecessor, which may have written it.
+var errHolderChanged = errors.New("the holder has changed")
+
 // Append implements acceptor.Ledger.
 func (s *storer) Append(ctx context.Context, r reducer.Record) error {
 	err := s.storeThroughHolder(ctx, r)
-	if err == nil || ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil || s.directAppendUseless(err) || !s.ledgerAnswers(ctx) {
 		return err
 	}
 	if directErr := s.instance.writer.Append(ctx, r); directErr != nil {
@@ -51,6 +59,31 @@
 	return nil
 }
 
+// directAppendUseless reports whether a direct append can't help after the given error: the
+// ledger can't be reached, this instance is the holder that can't append, or the ledger is slow
+// and has refused the holder.
+func (s *storer) directAppendUseless(err error) bool {
+	return !s.Reachable() || errors.Is(err, follower.ErrHolderCannotAppend) && (s.instance.status.holdsTerm.Load() || s.slow())
+}
+
+// ledgerAnswers reports whether a read of the ledger is answered soon. Without an answer, a
+// direct append would only leave open whether the record was written.
+func (s *storer) ledgerAnswers(ctx context.Context) bool {
+	latency, _ := s.instance.ledger.EstimatedLatency()
+	ctx, cancel := context.WithTimeout(ctx, unreachableAfter+slowCheckFactor*latency)
+	defer cancel()
+	return s.instance.ledger.CheckLatency(ctx) == nil
+}
+
+// slowCheckFactor times the estimated latency is added to the time limit of ledgerAnswers.
+const slowCheckFactor = 3
+
+// slow reports whether the ledger is slow for this instance.
+func (s *storer) slow() bool {
+	latency, known := s.instance.ledger.EstimatedLatency()
+	return known && latency >= follower.SlowLatency
+}
+
 // unreachableAfter is how long reads of the ledger must fail until the ledger counts as
 // unreachable. It covers one or two retries, so that a single refused read does not count.
 const unreachableAfter = 300 * time.Millisecond
@@ -67,26 +100,93 @@
 	return b
 }
 
-// storeThroughHolder sends the record to the holder. While the record is known not to have been
-// written, for example because the term is passing to another instance, it retries until
-// holderTimeout has passed.
+// storeThroughHolder sends the record to the holder, and again to its successor if the holder
+// changes. While the record is known not to have been written, for example because the term is
+// passing to another instance, it retries until holderTimeout has passed or the ledger is known
+// to be unreachable. A slow ledger is no reason to give up a holder that answers.
 func (s *storer) storeThroughHolder(ctx context.Context, r reducer.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
-	defer cancel()
+	began := time.Now()
+	mayBeWritten := false
 	for {
-		err := s.tryHolder(ctx, r)
-		if !errors.Is(err, errNotHolder) {
-			return err
+		err := s.awaitHolder(ctx, r, began)
+		if err == nil {
+			return nil
 		}
+		mayBeWritten = mayBeWritten || !errors.Is(err, follower.ErrNotWritten)
 		s.instance.ledger.ReadNow()
+		giveUp := !s.Reachable() || time.Since(began) >= holderTimeout && !s.slow()
+		if !errors.IsAny(err, errNotHolder, errHolderChanged) || giveUp {
+			return keepDoubt(err, mayBeWritten)
+		}
 		select {
 		case <-ctx.Done():
-			return err
+			return keepDoubt(err, mayBeWritten)
 		case <-time.After(holderRetryPause):
 		}
 	}
 }
 
+// keepDoubt returns err, but without its mark that nothing was written if an earlier attempt may
+// have written the record.
+func keepDoubt(err error, mayBeWritten bool) error {
+	if mayBeWritten && errors.Is(err, follower.ErrNotWritten) {
+		return errors.Newf("an earlier holder has not answered; %v", err)
+	}
+	return err
+}
+
+// awaitHolder makes one attempt to have the holder write the record. It gives up when the holder
+// has changed, and after holderTimeout unless the ledger is slow and the holder's process answers.
+func (s *storer) awaitHolder(ctx context.Context, r reducer.Record, began time.Time) error {
+	holder, address := s.holder(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.tryHolder(ctx, r) }()
+	ticker := time.NewTicker(holderCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+		}
+		reason := error(nil)
+		if now, _ := s.holder(ctx); now != holder {
+			reason = errHolderChanged
+		} else if time.Since(began) >= holderTimeout && !(s.slow() && s.answers(ctx, holder, address)) {
+			reason = context.DeadlineExceeded
+		}
+		if reason == nil {
+			continue
+		}
+		cancel()
+		if err := <-done; err == nil || errors.Is(err, follower.ErrNotWritten) {
+			return err
+		}
+		return reason
+	}
+}
+
+// holder returns the name of the process that holds the term, and its address, which is empty
+// if that is this process or unknown.
+func (s *storer) holder(ctx context.Context) (process, address string) {
+	s.instance.loop.Inspect(ctx, func(m *scheduler.Model) { process, address = m.Table.Term.Holder, m.HolderAddress() })
+	if address == s.instance.settings.Peer {
+		return process, ""
+	}
+	return process, address
+}
+
+// answers reports whether the process that holds the term answers.
+func (s *storer) answers(ctx context.Context, holder, address string) bool {
+	if address == "" {
+		return holder == s.instance.holder && s.instance.status.holdsTerm.Load()
+	}
+	process, err := s.instance.deps.Peers.Process(ctx, address)
+	return err == nil && process == holder
+}
+
 // tryHolder sends the record to the holder, which may be this instance, once. The error is
 // errNotHolder if the holder is unknown, has changed, or is a peer that has written nothing.
 func (s *storer) tryHolder(ctx context.Context, r reducer.Record) error {
@@ -98,7 +198,7 @@
 		return errNotHolder
 	}
 	err := s.instance.deps.Peers.Store(ctx, address, r)
-	if errors.Is(err, follower.ErrNotWritten) {
+	if errors.Is(err, follower.ErrNotWritten) && !errors.Is(err, follower.ErrHolderCannotAppend) {
 		return errors.Mark(err, errNotHolder)
 	}
 	return err
@@ -140,6 +240,8 @@
 		return nil
 	case scheduler.StoreNotHolder:
 		return errNotHolder
+	case scheduler.StoreRefused:
+		return follower.ErrHolderCannotAppend
 	case scheduler.StoreInvalid:
 		return errUnreadable
 	}
--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,6 +72,18 @@
 	retryPause = 150 * time.Millisecond
 )
 
+// SlowLatency is the latency from which on a feed counts as slow: 25 times the usual one, and
+// above what a busy platform or a busy instance adds.
+const SlowLatency = 100 * time.Millisecond
+
+const (
+	// slowReadFactor times the latency of a slow feed is added to the timeout of a read, and
+	// half of that to the delay of the second call.
+	slowReadFactor = 4
+	// maxReadLatency limits the latency that prolongs the timeouts.
+	maxReadLatency = 500 * time.Millisecond
+)
+
 // Timeouts of single calls while the platform does not answer. A call that was sent during an
 // outage may hang after the outage has ended, so the first timeouts are short. Each further
 // call gets twice as long, since the platform may only be slow.
@@ -87,6 +100,8 @@
 	Handler Handler[T]
 	// Pace returns how often to read at present.
 	Pace func() Pace
+	// Latency estimates how long the feed takes to answer.
+	Latency Latency
 
 	wake chan struct{}
 	// loadTimeout is the timeout of the calls of the next load, probeTimeout that of the
@@ -94,6 +109,8 @@
 	// minimum. probing is set after a failed read, until a read succeeds.
 	loadTimeout, probeTimeout time.Duration
 	probing                   bool
+	// next is the offset from which to continue reading.
+	next atomic.Uint64
 }
 
 // NewReader returns a reader, which starts reading when Run is called.
@@ -145,6 +162,7 @@
 // the same offset, so nothing is loaded again after an outage.
 func (r *Reader[T]) follow(ctx context.Context, next uint64) error {
 	for ctx.Err() == nil {
+		r.next.Store(next)
 		pace := r.Pace()
 		began := time.Now()
 		page, asOf, err := r.read(ctx, next, pace)
@@ -175,8 +193,8 @@
 // before the first one times out. The first answer counts. The feed has no other record that
 // was written before asOf and is not in the page.
 func (r *Reader[T]) read(ctx context.Context, next uint64, pace Pace) (page Page[T], asOf time.Time, err error) {
-	wait := r.readWait(pace)
-	limit := wait + roundTripAllowance
+	wait, latency := r.readWait(pace)
+	limit := wait + roundTripAllowance + slowReadFactor*latency
 	if r.probing {
 		limit = min(max(2*r.probeTimeout, minProbeTimeout), maxProbeTimeout)
 		r.probeTimeout = limit
@@ -191,7 +209,7 @@
 	results := make(chan result, 2)
 	send := func(wait time.Duration) {
 		asOf := time.Now()
-		page, err := r.Feed.Read(ctx, next, wait)
+		page, err := r.measuredRead(ctx, next, wait)
 		if len(page.Items) == 0 && time.Since(asOf) >= wait {
 			// The read has waited without finding a record, so there was none until then.
 			asOf = asOf.Add(wait)
@@ -199,7 +217,7 @@
 		results <- result{page, asOf, err}
 	}
 	go send(wait)
-	hedge := time.NewTimer(wait + hedgeDelay)
+	hedge := time.NewTimer(wait + hedgeDelay + slowReadFactor/2*latency)
 	defer hedge.Stop()
 	for inFlight := 1; inFlight > 0; {
 		select {
@@ -217,13 +235,55 @@
 	return page, asOf, err
 }
 
-// readWait returns how long a read may wait for a record. While probing it is zero, so that
-// the answer shows at once whether the platform is reachable again.
-func (r *Reader[T]) readWait(pace Pace) time.Duration {
+// measuredRead calls Feed.Read and measures its latency.
+func (r *Reader[T]) measuredRead(ctx context.Context, next uint64, wait time.Duration) (page Page[T], err error) {
+	timer := r.Latency.Begin(wait)
+	page, err = r.Feed.Read(ctx, next, wait)
+	if err != nil {
+		timer.Dropped()
+		return page, err
+	}
+	timer.Answered(len(page.Items) == 0)
+	return page, nil
+}
+
+// EstimatedLatency implements LatencySource.
+func (r *Reader[T]) EstimatedLatency() (latency time.Duration, known bool) {
+	return r.Latency.Estimate()
+}
+
+// LatestLatency implements LatencySource.
+func (r *Reader[T]) LatestLatency() (latency time.Duration, known bool) { return r.Latency.Latest() }
+
+// ReportUnanswered implements LatencySource.
+func (r *Reader[T]) ReportUnanswered() {
+	if r.Latency.OnUnanswered != nil {
+		r.Latency.OnUnanswered()
+	}
+}
+
+// CheckLatency sends a read that does not wait for records. Only its latency counts.
+func (r *Reader[T]) CheckLatency(ctx context.Context) error {
+	_, err := r.measuredRead(ctx, r.next.Load(), 0)
+	return err
+}
+
+// readWait returns how long a read may wait for a record, and the estimated latency. While
+// probing, the wait is zero, so that the answer shows at once whether the platform is reachable
+// again. A slow feed takes its latency twice between two answers, so reads wait for that much
+// less, and what was read is not older than usual.
+func (r *Reader[T]) readWait(pace Pace) (wait, latency time.Duration) {
 	if r.probing {
-		return 0
+		return 0, 0
+	}
+	if r.Latency.NeedsExact() {
+		return 0, SlowLatency
+	}
+	latency, _ = r.Latency.Estimate()
+	if latency < SlowLatency {
+		return pace.Wait, 0
 	}
-	return pace.Wait
+	return max(pace.Wait-2*latency, 0), min(latency, maxReadLatency)
 }
 
 // waitForNextRead waits for the duration d, or until ReadNow is called.
--- a/internal/workload/follower/handlers.go
+++ b/internal/workload/follower/handlers.go
@@ -56,6 +56,14 @@
 	h.Sink.Send(scheduler.LedgerReadMsg{From: from, Records: items, AsOfMS: h.ms(asOf), CaughtUp: caughtUp})
 }
 
+// SampleLatency passes the latency of a read to the control loop.
+func (h *LedgerHandler) SampleLatency(s LatencySample) {
+	h.Sink.Send(scheduler.LedgerLatencyMsg{EstimateMS: s.Estimate.Milliseconds(), LatencyMS: s.Latency.Milliseconds(), Exact: s.Exact})
+}
+
+// ReportUnanswered tells the control loop that a read which measures the latency got no answer.
+func (h *LedgerHandler) ReportUnanswered() { h.Sink.Send(scheduler.LedgerLatencyMsg{Unanswered: true}) }
+
 // DownFor reports whether all reads of the ledger have failed for at least the duration d.
 func (h *LedgerHandler) DownFor(d time.Duration) bool { return h.availability.downFor(d) }
 
--- a/internal/workload/follower/ledger.go
+++ b/internal/workload/follower/ledger.go
@@ -18,6 +18,9 @@
 	ErrNotWritten = errors.New("not written")
 	// ErrFenced means that the append was rejected because a higher term has been recorded.
 	ErrFenced = errors.New("a higher term has been recorded")
+	// ErrHolderCannotAppend means that nothing was written because the holder is known not to
+	// be able to append. It is an ErrNotWritten.
+	ErrHolderCannotAppend = errors.Wrap(ErrNotWritten, "the holder can't append to the ledger")
 )
 
 // Ledger is the log of the holder's decisions and the callers' requests that all instances
@@ -48,6 +51,21 @@
 	maxAppendTimeout = 2400 * time.Millisecond
 	// appendTimeoutFactor times the latest response time is the timeout of the next append.
 	appendTimeoutFactor = 5
+	// latencyTimeoutFactor times the latency of reads is the least timeout while the ledger is
+	// slow: an append may wait for a few others.
+	latencyTimeoutFactor = 6
+)
+
+const (
+	// overdueAfter is the age of an append from which on the latency of reads is checked, and
+	// checkInterval is the pause before the next check.
+	overdueAfter  = 100 * time.Millisecond
+	checkInterval = 400 * time.Millisecond
+	// checkTimeout is the least time limit of one check: more than a call to a ledger takes
+	// that is 100 times slower than usual.
+	checkTimeout = 500 * time.Millisecond
+	// timeoutResolution is how often the timeout of an append in flight is determined anew.
+	timeoutResolution = 50 * time.Millisecond
 )
 
 // appendTimeout adapts the timeout of appends to how long they take.
@@ -56,6 +74,20 @@
 	limit time.Duration
 	// cancelled is closed when the appends in flight must be cancelled.
 	cancelled chan struct{}
+	// reads, if set, tells how fast the ledger answers reads.
+	reads LatencySource
+}
+
+// LatencySource tells how fast reads of the ledger are answered.
+type LatencySource interface {
+	// EstimatedLatency returns the present estimate; known is false if there is none.
+	EstimatedLatency() (latency time.Duration, known bool)
+	// LatestLatency returns that of the last read if it is higher.
+	LatestLatency() (latency time.Duration, known bool)
+	// CheckLatency sends a read that tells the latency at once.
+	CheckLatency(ctx context.Context) error
+	// ReportUnanswered reports that such a read got no answer in time.
+	ReportUnanswered()
 }
 
 // cancelInFlight cancels the appends in flight and returns to the minimum timeout. It is
@@ -90,11 +122,18 @@
 	return ctx, cancel
 }
 
-// current returns the timeout of the next append.
+// current returns the timeout of an append, by what appends have taken and by the latency of
+// reads.
 func (t *appendTimeout) current() time.Duration {
+	limit := minAppendTimeout
+	if t.reads != nil {
+		if latency, known := t.reads.LatestLatency(); known {
+			limit = max(limit, latencyTimeoutFactor*latency)
+		}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return min(max(t.limit, minAppendTimeout), maxAppendTimeout)
+	return min(max(t.limit, limit), maxAppendTimeout)
 }
 
 // adapt sets the next timeout from the duration and the error of one append.
@@ -110,16 +149,48 @@
 	}
 }
 
-// run executes one append within the timeout.
+// run executes one append within the timeout, which may change while the append is in flight:
+// one that was sent just before the ledger became slow must not be sent again.
 func (t *appendTimeout) run(ctx context.Context, appending func(context.Context) error) error {
 	ctx, stop := t.untilCancelled(ctx)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, t.current())
-	defer cancel()
 	began := time.Now()
-	err := appending(ctx)
-	t.adapt(time.Since(began), err)
-	return err
+	done := make(chan error, 1)
+	go func() { done <- appending(ctx) }()
+	ticker := time.NewTicker(timeoutResolution)
+	defer ticker.Stop()
+	nextCheck := overdueAfter
+	timedOut := false
+	for {
+		select {
+		case err := <-done:
+			if err != nil && timedOut {
+				err = errors.Mark(err, context.DeadlineExceeded)
+			}
+			t.adapt(time.Since(began), err)
+			return err
+		case <-ticker.C:
+		}
+		age := time.Since(began)
+		if timedOut = age >= t.current(); timedOut {
+			stop()
+			ticker.Stop()
+		}
+		if t.reads != nil && age >= nextCheck && !timedOut {
+			nextCheck = age + checkInterval
+			go t.checkLatency(ctx)
+		}
+	}
+}
+
+// checkLatency reads from the ledger, within the lifetime of an append.
+func (t *appendTimeout) checkLatency(ctx context.Context) {
+	latency, _ := t.reads.LatestLatency()
+	ctx, cancel := context.WithTimeout(ctx, max(checkTimeout, latencyTimeoutFactor*latency))
+	defer cancel()
+	if err := t.reads.CheckLatency(ctx); errors.Is(err, context.DeadlineExceeded) {
+		t.reads.ReportUnanswered()
+	}
 }
 
 // Writer writes to the ledger, for the control loop and for callers.
@@ -146,6 +217,9 @@
 	return &Writer{ledger: l, queue: make(chan pendingAppend, maxQueuedRecords)}
 }
 
+// SetLatencySource makes the timeouts follow the latency of reads. It must be called before Run.
+func (w *Writer) SetLatencySource(s LatencySource) { w.timeout.reads = s }
+
 // Run writes callers' records until the context ends. Records that are queued at the same time
 // share one append.
 func (w *Writer) Run(ctx context.Context) {
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -145,8 +145,10 @@
 type storeReply struct {
 	Written bool
 	// Doubt is set if the record may have been written although Written is false.
-	Doubt  bool   `cbor:",omitempty"`
-	Reason string `cbor:",omitempty"`
+	Doubt bool `cbor:",omitempty"`
+	// Refused is set if nothing was written because the holder can't append.
+	Refused bool   `cbor:",omitempty"`
+	Reason  string `cbor:",omitempty"`
 }
 
 // Store asks the instance at an address to write a record. After an error other than
@@ -163,6 +165,8 @@
 		return nil
 	case reply.Doubt:
 		return errors.Newf("peer %s: %s", address, reply.Reason)
+	case reply.Refused:
+		return errors.Wrapf(follower.ErrHolderCannotAppend, "peer %s", address)
 	}
 	return errors.Wrapf(follower.ErrNotWritten, "peer %s: %s", address, reply.Reason)
 }
@@ -291,7 +295,7 @@
 	if err == nil {
 		return storeReply{Written: true}
 	}
-	return storeReply{Doubt: !errors.Is(err, follower.ErrNotWritten), Reason: err.Error()}
+	return storeReply{Doubt: !errors.Is(err, follower.ErrNotWritten), Refused: errors.Is(err, follower.ErrHolderCannotAppend), Reason: err.Error()}
 }
 
 // decodeRequest decodes the body of a request into msg. If that fails, it responds with an error
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -121,6 +121,8 @@
 	StoreDone StoreResult = "Done"
 	// StoreNotHolder means that nothing was written, because another instance decides.
 	StoreNotHolder StoreResult = "NotHolder"
+	// StoreRefused means that nothing was written, because the holder can't append.
+	StoreRefused StoreResult = "Refused"
 	// StoreInvalid means that nothing was written, because the record can't be decoded.
 	StoreInvalid StoreResult = "Invalid"
 	// StoreUnknown means that the record may or may not have been written.
--- a/internal/workload/scheduler/liveness.go
+++ b/internal/workload/scheduler/liveness.go
@@ -33,7 +33,8 @@
 		return
 	}
 	silent := m.now.MonoMS - m.term.silentSinceMS
-	if silent < suspectAfterMS || m.now.MonoMS-l.askedMS < askAliveIntervalMS || m.now.MonoMS-m.tableAsOfMS > suspectAfterMS || m.LowRank() {
+	suspectAfter := suspectAfterMS + slowStaggerFactor*m.slowLatency()
+	if silent < suspectAfter || m.now.MonoMS-l.askedMS < askAliveIntervalMS || m.now.MonoMS-m.tableAsOfMS > suspectAfter || m.LowRank() {
 		return
 	}
 	l.askedTerm, l.askedMS = t.Number, m.now.MonoMS
@@ -56,5 +57,5 @@
 // holderIsLost reports whether the holder has neither written anything for a while nor
 // answered.
 func (m *Model) holderIsLost() bool {
-	return m.liveness.silentTerm == m.Table.Term.Number && m.now.MonoMS-m.term.silentSinceMS >= suspectAfterMS
+	return m.liveness.silentTerm == m.Table.Term.Number && m.now.MonoMS-m.term.silentSinceMS >= suspectAfterMS+slowStaggerFactor*m.slowLatency()
 }
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -44,6 +44,17 @@
 // LedgerFailedMsg reports that the ledger could not be read.
 type LedgerFailedMsg struct{ Err string }
 
+// LedgerLatencyMsg reports the latency of a read of the ledger and the estimate that follows
+// from it and other reads. Exact is not set if the read has waited for records for an unknown
+// part of the time. If Unanswered is set, a read that does not wait got no answer in time, and
+// nothing else is known.
+type LedgerLatencyMsg struct {
+	Unanswered bool
+	EstimateMS int64
+	LatencyMS  int64
+	Exact      bool
+}
+
 // ConfiguredMsg delivers the current configuration.
 type ConfiguredMsg struct{ Configuration *describer.Configuration }
 
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -201,6 +201,7 @@
 	// saying that a holder has not reached the worker.
 	unreachedReadMS map[string]int64
 	liveness        liveness
+	latency         ledgerLatency
 	proposer        proposer
 	// orders queues the orders to workers. It outlives a term, because orders of an
 	// earlier one may still be in flight.
@@ -227,6 +228,9 @@
 	jobs  map[string]*job
 	// pendingStores holds the request IDs of callers' records that are not durable yet.
 	pendingStores map[uint64]bool
+	// heldStores are callers' records that are not proposed before the append in flight has
+	// been answered.
+	heldStores []StoreMsg
 	// liveJobs lists the live jobs in the order of their acceptance.
 	liveJobs     []*job
 	reservations []*reservation
@@ -295,6 +299,8 @@
 		m.handleLedgerLoaded(msg)
 	case LedgerFailedMsg:
 		m.term.silentSinceMS, m.term.ledgerFailedMS = m.now.MonoMS, m.now.MonoMS
+	case LedgerLatencyMsg:
+		m.handleLatency(msg)
 	case ConfiguredMsg:
 		m.handleConfigured(msg)
 	case ListedMsg:
@@ -364,6 +370,8 @@
 	m.renewTerm()
 	m.yieldTermIfDue()
 	m.offerTermIfWeak()
+	m.offerTermIfSlow()
+	m.settleHeldStores()
 	m.checkWorkers()
 	m.settleLateStarts()
 	m.retryOrders()
@@ -412,6 +420,10 @@
 		m.tableAsOfMS = max(m.tableAsOfMS, m.agedMS(msg.AsOfMS))
 	}
 	m.syncTerm()
+	if m.term.provenTerm > 0 {
+		// The table may have been too old when the holder asked to be replaced.
+		m.claimTermIfDue()
+	}
 }
 
 // observeRecord updates the state beside the table from a record that any instance has
--- a/internal/workload/scheduler/proposer.go
+++ b/internal/workload/scheduler/proposer.go
@@ -102,5 +102,8 @@
 				ack(m)
 			}
 		}
+		if m.term.active {
+			m.settleHeldStores()
+		}
 	}
 }
--- a/internal/workload/scheduler/store.go
+++ b/internal/workload/scheduler/store.go
@@ -23,6 +23,15 @@
 		m.emit(StoredCmd{RequestID: msg.RequestID, Result: StoreDone})
 		return
 	}
+	switch {
+	case m.proposed(msg.Record):
+	case m.appendsFail():
+		m.emit(StoredCmd{RequestID: msg.RequestID, Result: StoreRefused})
+		return
+	case m.appendOverdue():
+		m.heldStores = append(m.heldStores, msg)
+		return
+	}
 	m.pendingStores[msg.RequestID] = true
 	m.propose(msg.Record, func(m *Model) {
 		delete(m.pendingStores, msg.RequestID)
@@ -58,8 +67,9 @@
 }
 
 // answerPendingStores answers StoreUnknown to callers whose records may or may not
-// become durable.
+// become durable, and StoreNotHolder to those whose records were not proposed.
 func (m *Model) answerPendingStores() {
+	m.refuseHeldStores()
 	requestIDs := make([]uint64, 0, len(m.pendingStores))
 	for id := range m.pendingStores {
 		requestIDs = append(requestIDs, id)
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -66,7 +66,7 @@
 	if !m.loaded || m.shuttingDown || m.term.active || m.term.claiming {
 		return
 	}
-	if m.now.MonoMS-m.tableAsOfMS > holderTimeoutMS/2 || m.now.MonoMS < m.term.nextClaimMS {
+	if m.now.MonoMS-m.tableAsOfMS > holderTimeoutMS/2+slowStaggerFactor*m.slowLatency() || m.now.MonoMS < m.term.nextClaimMS {
 		return
 	}
 	reason, due := m.claimReason()
@@ -82,6 +82,7 @@
 	t := m.Table.Term
 	silent := m.now.MonoMS - m.term.silentSinceMS
 	delay := m.claimDelayMS()
+	slow := slowSilenceFactor * m.slowLatency()
 	switch {
 	case t.Number == 0:
 		return "no term yet", silent >= firstClaimDelayMS+delay
@@ -92,13 +93,13 @@
 	case reducer.InstanceOf(t.Holder) == m.cfg.Instance && len(m.Table.Unreached) > 0:
 		// This process knows only from its own start on how long a worker has not been
 		// reached. Instances that saw the term begin and know more claim first.
-		return "held by an earlier process of this instance", silent >= reclaimDelayMS
+		return "held by an earlier process of this instance", silent >= reclaimDelayMS+slow
 	case m.holderIsLost():
 		return t.Holder + " is silent and does not answer", m.now.MonoMS-m.liveness.silentSinceMS >= m.endedDelayMS()
 	case m.term.endedTerm == t.Number:
 		return "the process of " + t.Holder + " has ended", m.now.MonoMS-m.term.endedSinceMS >= m.endedDelayMS()
 	}
-	return "silence of " + t.Holder, silent >= holderTimeoutMS+m.termPenaltyMS()+delay
+	return "silence of " + t.Holder, silent >= holderTimeoutMS+slow+m.termPenaltyMS()+delay
 }
 
 // recentTerms counts the terms that have begun recently, as far as this process knows.
@@ -130,7 +131,7 @@
 // claimDelayMS is how long this instance lets those with lower ranks claim first.
 func (m *Model) claimDelayMS() int64 {
 	rank := m.claimRank()
-	return int64(min(rank, lowRank)*claimStaggerMS + max(rank-lowRank, 0)*lowRankStaggerMS)
+	return int64(min(rank, lowRank))*(claimStaggerMS+slowStaggerFactor*m.slowLatency()) + int64(max(rank-lowRank, 0)*lowRankStaggerMS)
 }
 
 // endedDelayMS is the same once the holder is known to have ended. When all processes were
@@ -138,7 +139,7 @@
 // powerful instances, which of them is first matters little.
 func (m *Model) endedDelayMS() int64 {
 	if rank := m.claimRank(); rank < len(powerfulOf(m.termCandidates())) {
-		return int64(rank) * lowRankStaggerMS
+		return int64(rank) * (lowRankStaggerMS + m.slowLatency())
 	}
 	return m.claimDelayMS()
 }
@@ -191,7 +192,7 @@
 // handleClaimed requests a ledger read after a claim: only the ledger's records tell
 // who holds the term.
 func (m *Model) handleClaimed(msg ClaimedMsg) {
-	m.term.claiming, m.term.nextClaimMS = false, m.now.MonoMS+claimRetryMS
+	m.term.claiming, m.term.nextClaimMS = false, m.now.MonoMS+claimRetryMS+slowSilenceFactor*m.slowLatency()
 	if msg.Err != "" {
 		m.event("TermClaimFailed", "Error", msg.Err)
 	}
@@ -209,6 +210,10 @@
 	if msg.Term != m.Table.Term.Number || msg.Term == m.term.probingTerm || m.holdsTerm() || m.shuttingDown {
 		return
 	}
+	if m.recentlySlow() {
+		m.event("YieldDeclined", "Term", msg.Term, "LatencyMS", m.latency.estimateMS, "Error", "the ledger is or was slow for this instance too")
+		return
+	}
 	m.term.probingTerm = msg.Term
 	m.emit(ProbeCmd(msg))
 }
@@ -303,7 +308,7 @@
 	p := &m.proposer
 	recent := m.recentTerms()
 	yieldAfter, interval := m.yieldTimes(recent)
-	appendsFail := len(p.sent) > 0 && m.now.MonoMS-p.sentMS >= yieldAfter
+	appendsFail := len(p.sent) > 0 && m.now.MonoMS-p.sentMS >= yieldAfter && (p.refused || !m.appendIsSlow())
 	staleForMS := m.tableStaleForMS()
 	if !appendsFail && staleForMS < yieldAfter || m.now.MonoMS-m.term.lastYieldMS < interval {
 		return
@@ -356,10 +361,15 @@
 	if len(powerful) == 0 || 2*m.cfg.Power >= powerful[0].Power {
 		return
 	}
+	m.offerTerm(powerful)
+}
+
+// offerTerm asks the next of the given instances to take over.
+func (m *Model) offerTerm(powerful []reducer.Instance, reason ...any) {
 	to := powerful[m.term.offers%len(powerful)]
 	m.term.offers++
 	m.term.lastYieldMS = m.now.MonoMS
-	m.event("TermOffered", "Term", m.term.number, "To", to.Name, "Power", m.cfg.Power, "ItsPower", to.Power)
+	m.event("TermOffered", append([]any{"Term", m.term.number, "To", to.Name, "Power", m.cfg.Power, "ItsPower", to.Power}, reason...)...)
 	m.emit(YieldCmd{Term: m.term.number, To: to.Name, Address: to.Address})
 }
 
@@ -385,6 +395,7 @@
 		return
 	}
 	m.shuttingDown = true
+	m.refuseHeldStores()
 	if !m.term.active {
 		return
 	}
