Damp offers of a slow holder, and measure all faults of the store

A holder that is slow under its own load would hand the term on each second to a successor with the same load: the first offer now waits twice as long with each recent term, up to 8 s. Reads that only measure the latency start at the end of the feed, so that an instance that is behind transfers no records with them. A cancellation is held back and refused like a submission; the job that it names is known, which is no doubt about it.

--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -109,8 +109,9 @@
 	// minimum. probing is set after a failed read, until a read succeeds.
 	loadTimeout, probeTimeout time.Duration
 	probing                   bool
-	// next is the offset from which to continue reading.
-	next atomic.Uint64
+	// end is the end of the feed as of the last read, once loaded is set.
+	end    atomic.Uint64
+	loaded atomic.Bool
 }
 
 // NewReader returns a reader, which starts reading when Run is called.
@@ -154,6 +155,8 @@
 		return 0, err
 	}
 	r.loadTimeout = 0
+	r.end.Store(next)
+	r.loaded.Store(true)
 	r.Handler.Load(items, next, sent)
 	return next, nil
 }
@@ -162,7 +165,6 @@
 // the same offset, so nothing is loaded again after an outage.
 func (r *Reader[T]) follow(ctx context.Context, next uint64) error {
 	for ctx.Err() == nil {
-		r.next.Store(next)
 		pace := r.Pace()
 		began := time.Now()
 		page, asOf, err := r.read(ctx, next, pace)
@@ -178,6 +180,7 @@
 			continue
 		}
 		r.probing, r.probeTimeout = false, 0
+		r.end.Store(page.NextOffset)
 		from := next
 		next += uint64(len(page.Items))
 		r.Handler.Update(from, page.Items, asOf, next >= page.NextOffset)
@@ -262,9 +265,13 @@
 	}
 }
 
-// CheckLatency sends a read that does not wait for records. Only its latency counts.
+// CheckLatency sends a read that does not wait for records, from the end of the feed on. Only its
+// latency counts.
 func (r *Reader[T]) CheckLatency(ctx context.Context) error {
-	_, err := r.measuredRead(ctx, r.next.Load(), 0)
+	if !r.loaded.Load() {
+		return errors.New("the feed has not been loaded yet")
+	}
+	_, err := r.measuredRead(ctx, r.end.Load(), 0)
 	return err
 }
 
--- a/internal/workload/scheduler/slow_store.go
+++ b/internal/workload/scheduler/slow_store.go
@@ -21,7 +21,9 @@
 	// maxLatencyAgeMS is the age from which on an estimate tells nothing any more.
 	maxLatencyAgeMS = 2500
 	// slowOfferAfterMS is for how long the ledger must be slow for the holder until it asks
-	// another instance, which the ledger may serve faster, to take over.
+	// another instance, which the ledger may serve faster, to take over. It doubles with each
+	// recent change of the holder, at most maxYieldShift times: the holder may be slow by itself,
+	// under a load that its successor has then.
 	slowOfferAfterMS = 1000
 	// storeHoldMS is the age of an append in flight from which on callers' records are not
 	// queued behind it: 25 times the usual time of an append. They can then be refused as not
@@ -92,7 +94,8 @@
 // offerTermIfSlow asks the powerful instances in turn to take over while the ledger is slow for
 // this holder. Those for which it is slow too decline.
 func (m *Model) offerTermIfSlow() {
-	if m.slowLatency() == 0 || m.now.MonoMS-m.latency.slowSinceMS < slowOfferAfterMS || m.now.MonoMS-m.term.lastYieldMS < offerIntervalMS {
+	after := int64(slowOfferAfterMS) << min(max(m.recentTerms()-1, 0), maxYieldShift)
+	if m.slowLatency() == 0 || m.now.MonoMS-max(m.latency.slowSinceMS, m.term.takenOverMS) < after || m.now.MonoMS-m.term.lastYieldMS < offerIntervalMS {
 		return
 	}
 	if powerful := powerfulOf(m.successors()); len(powerful) > 0 {
@@ -133,7 +136,7 @@
 // another call for it is told must hold for that one too.
 func (m *Model) proposed(r reducer.Record) bool {
 	id, _ := reducer.CallerRecordJobID(r)
-	return m.jobs[id] != nil
+	return reducer.IsSubmission(r) && m.jobs[id] != nil
 }
 
 // settleHeldStores proposes the callers' records that were held back, or refuses them if this
