Learn of a slow ledger within half a second

A read that had returned with records counted as sent at the end of its wait, so it seemed to have overtaken the reads that measure the latency: the first append of a slow phase was still repeated after 300 ms. These reads also ended with the append that caused them, which left the latency unknown for up to 1.5 s, and a holder for which alone the ledger is slow was replaced after 1.2 to 2.9 s. Such a holder now asks others once reads have been answered late for 0.25 s, and a read with records that is fast ends that too; otherwise the term changed 2 s after a slow phase (found in a trial with two slow phases).

follower takes the threshold of 100 ms from scheduler, and a slow ledger counts as fast again only below half of it, which bounds the events.

--- a/internal/workload/assembler/fakestore_test.go
+++ b/internal/workload/assembler/fakestore_test.go
@@ -71,8 +71,10 @@
 	refused
 	// unanswered are 3 of 10 appends. They are executed.
 	unanswered
-	// slow calls take slowAnswerTime.
+	// slow calls keep the partition busy for slowAnswerTime.
 	slow
+	// distant calls are answered after slowAnswerTime, and keep the partition busy as usual.
+	distant
 )
 
 // storeClient is an instance's access to the store. It implements follower.Ledger.
@@ -88,9 +90,9 @@
 	c.fault = f
 }
 
-// begin applies the fault to a call. It returns how long the answer takes, and whether it is
-// lost if the call is an append.
-func (c *storeClient) begin(ctx context.Context) (answer time.Duration, lost bool, err error) {
+// begin applies the fault to a call. It returns how long the store takes for it, and how much
+// later the answer arrives.
+func (c *storeClient) begin(ctx context.Context, isAppend bool) (answer, later time.Duration, err error) {
 	c.mu.Lock()
 	c.calls++
 	n, fault := c.calls, c.fault
@@ -98,15 +100,21 @@
 	switch fault {
 	case silent:
 		<-ctx.Done()
-		return 0, false, ctx.Err()
+		return 0, 0, ctx.Err()
 	case reset:
-		return 0, false, errors.New("connection reset")
+		return 0, 0, errors.New("connection reset")
 	case refused:
-		return 0, false, errors.Wrap(follower.ErrNotWritten, "status 503")
+		return 0, 0, errors.Wrap(follower.ErrNotWritten, "status 503")
 	case slow:
-		return slowAnswerTime, false, nil
+		return slowAnswerTime, 0, nil
+	case distant:
+		return usualAnswerTime, slowAnswerTime, nil
+	case unanswered:
+		if isAppend && n%10 < 3 {
+			return usualAnswerTime, time.Hour, nil
+		}
 	}
-	return usualAnswerTime, fault == unanswered && n%10 < 3, nil
+	return usualAnswerTime, 0, nil
 }
 
 // sleep waits for d and returns an error if ctx ends first.
@@ -120,7 +128,7 @@
 }
 
 func (c *storeClient) AppendInTerm(ctx context.Context, term, sequence uint64, records []reducer.Record) error {
-	answer, lost, err := c.begin(ctx)
+	answer, later, err := c.begin(ctx, true)
 	if err != nil {
 		return err
 	}
@@ -135,17 +143,11 @@
 		return errors.Wrap(follower.ErrNotWritten, "status 503")
 	}
 	result := make(chan error, 1)
-	time.AfterFunc(backlog+answer, func() {
-		if err := c.write(term, sequence, records); !lost {
-			result <- err
-		}
-	})
-	select {
-	case err := <-result:
+	time.AfterFunc(backlog+answer, func() { result <- c.write(term, sequence, records) })
+	if err := sleep(ctx, backlog+answer+later); err != nil {
 		return err
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return <-result
 }
 
 func (c *storeClient) Append(ctx context.Context, records []reducer.Record) error {
@@ -157,7 +159,7 @@
 }
 
 func (c *storeClient) Read(ctx context.Context, from uint64, wait time.Duration) (p follower.Page[reducer.Record], err error) {
-	answer, _, err := c.begin(ctx)
+	answer, later, err := c.begin(ctx, false)
 	if err != nil {
 		return p, err
 	}
@@ -181,7 +183,7 @@
 	if fault == silent {
 		<-ctx.Done()
 	}
-	return p, sleep(ctx, answer-answer/2)
+	return p, sleep(ctx, later+answer-answer/2)
 }
 
 func (c *storeClient) ReadNewest(ctx context.Context, limit time.Duration) ([]reducer.Record, uint64, error) {
@@ -212,9 +214,9 @@
 
 func (f fixedFeed[T]) Read(ctx context.Context, _ uint64, wait time.Duration) (p follower.Page[T], err error) {
 	p.NextOffset = uint64(len(f.items))
-	answer, _, err := f.store.begin(ctx)
+	answer, later, err := f.store.begin(ctx, false)
 	if err != nil {
 		return p, err
 	}
-	return p, sleep(ctx, answer+wait)
+	return p, sleep(ctx, answer+wait+later)
 }
--- a/internal/workload/assembler/slow_store_test.go
+++ b/internal/workload/assembler/slow_store_test.go
@@ -199,7 +199,7 @@
 		{"reset for the holder", 12, false, reset, 5 * time.Second, 500 * time.Millisecond, 320, 0, 10, 1000},
 		{"refused for the holder", 12, false, refused, 5 * time.Second, 500 * time.Millisecond, 320, 0, 10, 1000},
 		{"answers to the holder lost", 12, false, unanswered, 5 * time.Second, 0, 320, 0, 10, 1000},
-		{"slow for the holder", 12, false, slow, 5 * time.Second, 1500 * time.Millisecond, 320, 0, 15, 1000},
+		{"slow for the holder", 12, false, distant, 5 * time.Second, 1200 * time.Millisecond, 320, 0, 15, 1000},
 		{"silent for all", 12, true, silent, 4 * time.Second, never, 100, 10, 0, 1000},
 		{"reset for all", 12, true, reset, 4 * time.Second, never, 140, 5, 0, 1000},
 		{"refused for all", 12, true, refused, 4 * time.Second, never, 140, 5, 0, 1000},
@@ -219,11 +219,10 @@
 				time.AfterFunc(c.lasts, func() { setFault(noFault) })
 				f.submitFor(ctx, 8*time.Second)
 				appends = f.store.appendCount() - appends
-				now, takenAt := f.currentHolder()
-				taken := max(takenAt.Sub(began), 0)
-
 				verdicts, late, held := map[acceptor.Verdict]int{}, 0, time.Duration(0)
 				stored := f.storedJobs()
+				now, takenAt := f.currentHolder()
+				taken := max(takenAt.Sub(began), 0)
 				for _, r := range f.results {
 					verdicts[r.verdict]++
 					held += r.took
--- a/internal/workload/follower/feed.go
+++ b/internal/workload/follower/feed.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"daisyhead/internal/workload/scheduler"
 )
 
 // ErrExpired is returned by Feed.Read if records after the offset have been deleted.
@@ -72,9 +74,8 @@
 	retryPause = 150 * time.Millisecond
 )
 
-// SlowLatency is the latency from which on a feed counts as slow: 25 times the usual one, and
-// above what a busy platform or a busy instance adds.
-const SlowLatency = 100 * time.Millisecond
+// SlowLatency is the latency from which on a feed counts as slow.
+const SlowLatency = scheduler.SlowLatencyMS * time.Millisecond
 
 const (
 	// slowReadFactor times the latency of a slow feed is added to the timeout of a read, and
--- a/internal/workload/follower/latency.go
+++ b/internal/workload/follower/latency.go
@@ -34,7 +34,8 @@
 	exact   latencySample
 	// inFlight holds the times from which on the answers of the reads in flight were possible.
 	inFlight map[*ReadTimer]time.Time
-	// answeredFrom is the latest such time of an answered read.
+	// answeredFrom is the latest such time of an answered read. One that was answered with records
+	// before the end of its wait counts from when it was sent.
 	answeredFrom time.Time
 }
 
@@ -82,7 +83,11 @@
 	if empty && took >= r.wait {
 		took -= r.wait
 	}
-	if from := l.inFlight[r]; from.After(l.answeredFrom) {
+	from := r.sent
+	if exact {
+		from = r.sent.Add(r.wait)
+	}
+	if from.After(l.answeredFrom) {
 		l.answeredFrom = from
 	}
 	delete(l.inFlight, r)
--- a/internal/workload/follower/latency_test.go
+++ b/internal/workload/follower/latency_test.go
@@ -47,10 +47,19 @@
 		time.Sleep(250 * ms)
 		got = append(got, estimate(&l))
 		read(0, 4*ms, true)
+		// A read that was answered before the end of its wait overtakes none that was sent later.
+		waiting := l.Begin(600 * ms)
+		time.Sleep(10 * ms)
+		later := l.Begin(0)
+		time.Sleep(10 * ms)
+		waiting.Answered(false)
+		time.Sleep(200 * ms)
+		got = append(got, estimate(&l))
 		hanging.Dropped()
+		later.Dropped()
 		time.Sleep(3 * time.Second)
 		got = append(got, estimate(&l))
-		want := []int64{-1, 4, 4, 4, 370, 370, 4, 250, 4, -1}
+		want := []int64{-1, 4, 4, 4, 370, 370, 4, 250, 4, 210, -1}
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Errorf("estimates in milliseconds (-want +got):\n%s", diff)
 		}
@@ -165,8 +174,10 @@
 				w := follower.NewWriter(l)
 				w.SetLatencySource(source)
 				began := time.Now()
-				msg := w.AppendInTerm(context.Background(), scheduler.AppendCmd{Term: 1, Sequence: 1, Records: []reducer.Record{{Key: "k"}}})
+				ctx, cancel := context.WithCancel(context.Background())
+				msg := w.AppendInTerm(ctx, scheduler.AppendCmd{Term: 1, Sequence: 1, Records: []reducer.Record{{Key: "k"}}})
 				took := time.Since(began)
+				cancel()
 				synctest.Wait()
 				if msg.Result != c.want || took > c.atMost || msg.Refused {
 					t.Errorf("the result is %+v after %s, want %s after at most %s", msg, took, c.want, c.atMost)
--- a/internal/workload/follower/ledger.go
+++ b/internal/workload/follower/ledger.go
@@ -151,8 +151,8 @@
 
 // run executes one append within the timeout, which may change while the append is in flight:
 // one that was sent just before the ledger became slow must not be sent again.
-func (t *appendTimeout) run(ctx context.Context, appending func(context.Context) error) error {
-	ctx, stop := t.untilCancelled(ctx)
+func (t *appendTimeout) run(parent context.Context, appending func(context.Context) error) error {
+	ctx, stop := t.untilCancelled(parent)
 	defer stop()
 	began := time.Now()
 	done := make(chan error, 1)
@@ -178,12 +178,13 @@
 		}
 		if t.reads != nil && age >= nextCheck && !timedOut {
 			nextCheck = age + checkInterval
-			go t.checkLatency(ctx)
+			go t.checkLatency(parent)
 		}
 	}
 }
 
-// checkLatency reads from the ledger, within the lifetime of an append.
+// checkLatency reads from the ledger. It goes on if the append is answered meanwhile, since a
+// latency that has just grown is not known otherwise.
 func (t *appendTimeout) checkLatency(ctx context.Context) {
 	latency, _ := t.reads.LatestLatency()
 	ctx, cancel := context.WithTimeout(ctx, max(checkTimeout, latencyTimeoutFactor*latency))
--- a/internal/workload/scheduler/slow_store.go
+++ b/internal/workload/scheduler/slow_store.go
@@ -7,9 +7,10 @@
 // The latency of reads tells a slow ledger from an unreachable one.
 
 const (
-	// slowLatencyMS is the latency of reads from which on the ledger counts as slow: 25 times
-	// the usual one.
-	slowLatencyMS = 100
+	// SlowLatencyMS is the latency of reads from which on the ledger counts as slow: 25 times
+	// the usual one, and above what a busy platform or a busy instance adds. From half of it on
+	// it stays slow.
+	SlowLatencyMS = 100
 	// slowSilenceFactor times the latency is added to the silence after which the term is
 	// claimed: the time of two appends and a read, with one read interval.
 	slowSilenceFactor = 4
@@ -20,11 +21,11 @@
 	maxSlowLatencyMS = 500
 	// maxLatencyAgeMS is the age from which on an estimate tells nothing any more.
 	maxLatencyAgeMS = 2500
-	// slowOfferAfterMS is for how long the ledger must be slow for the holder until it asks
-	// another instance, which the ledger may serve faster, to take over. It doubles with each
+	// slowOfferAfterMS is for how long reads must be answered late until the holder asks another
+	// instance, which the ledger may serve faster, to take over. It doubles with each
 	// recent change of the holder, at most maxYieldShift times: the holder may be slow by itself,
 	// under a load that its successor has then.
-	slowOfferAfterMS = 1000
+	slowOfferAfterMS = 250
 	// storeHoldMS is the age of an append in flight from which on callers' records are not
 	// queued behind it: 25 times the usual time of an append. They can then be refused as not
 	// written.
@@ -35,11 +36,11 @@
 type ledgerLatency struct {
 	// estimateMS is the latest estimate, as of updatedMS.
 	estimateMS, updatedMS int64
-	// slowReadMS is when a read was last answered late for certain.
-	slowReadMS int64
-	// slow is set while the estimate is at least slowLatencyMS, slowSinceMS is since when.
-	slow        bool
-	slowSinceMS int64
+	// slowReadMS is when a read was last answered late for certain, slowReadsMS since when all
+	// have been, 0 if the last one was not.
+	slowReadMS, slowReadsMS int64
+	// slow tells whether the ledger counts as slow by the estimate.
+	slow bool
 	// slowUntilMS is when a slow estimate was last known.
 	slowUntilMS int64
 	// unansweredMS is when a read that does not wait last got no answer in time.
@@ -54,11 +55,17 @@
 		return
 	}
 	l.estimateMS, l.updatedMS = msg.EstimateMS, m.now.MonoMS
-	if msg.Exact && msg.LatencyMS >= slowLatencyMS {
+	switch {
+	case msg.LatencyMS < SlowLatencyMS:
+		l.slowReadsMS = 0
+	case msg.Exact:
 		l.slowReadMS = m.now.MonoMS
+		if l.slowReadsMS == 0 {
+			l.slowReadsMS = m.now.MonoMS
+		}
 	}
-	if slow := msg.EstimateMS >= slowLatencyMS; slow != l.slow {
-		l.slow, l.slowSinceMS = slow, m.now.MonoMS
+	if slow := msg.EstimateMS >= SlowLatencyMS || l.slow && msg.EstimateMS >= SlowLatencyMS/2; slow != l.slow {
+		l.slow = slow
 		name := "LedgerFast"
 		if slow {
 			name = "LedgerSlow"
@@ -95,7 +102,9 @@
 // this holder. Those for which it is slow too decline.
 func (m *Model) offerTermIfSlow() {
 	after := int64(slowOfferAfterMS) << min(max(m.recentTerms()-1, 0), maxYieldShift)
-	if m.slowLatency() == 0 || m.now.MonoMS-max(m.latency.slowSinceMS, m.term.takenOverMS) < after || m.now.MonoMS-m.term.lastYieldMS < offerIntervalMS {
+	l := &m.latency
+	slow := l.slowReadsMS > 0 && m.now.MonoMS-l.slowReadMS <= maxLatencyAgeMS
+	if !slow || m.now.MonoMS-max(l.slowReadsMS, m.term.takenOverMS) < after || m.now.MonoMS-m.term.lastYieldMS < offerIntervalMS {
 		return
 	}
 	if powerful := powerfulOf(m.successors()); len(powerful) > 0 {
