--- a/internal/workload/describer/configuration.go
+++ b/internal/workload/describer/configuration.go
@@ -67,6 +67,16 @@
 	return c.Workspaces[i], true
 }
 
+// Workspace returns the workspace with the given name.
+func (c *Configuration) Workspace(name string) (Workspace, bool) {
+	for _, w := range c.Workspaces {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return Workspace{}, false
+}
+
 // Guaranteed returns the number of accelerators that a workspace is guaranteed,
 // or 0 if the workspace doesn't exist.
 func (c *Configuration) Guaranteed(workspace string) int {
--- a/internal/workload/describer/job.go
+++ b/internal/workload/describer/job.go
@@ -201,13 +201,19 @@
 	Advised bool
 }
 
-// Workspace is a customer with its API keys and its guarantee.
+// Workspace is a customer with its API keys, its guarantee and its limit.
 type Workspace struct {
 	Name string
 	Keys []string
 	// GuaranteedAccelerators is how many accelerators the workspace's jobs of
 	// priority 0 can always use.
 	GuaranteedAccelerators int
+	// Maximum is what the workspace may have running across all workers. A resource that is 0
+	// there is not limited.
+	Maximum Resources
+	// Weight is the workspace's share when all capacity is in use, and the number of jobs a
+	// second that are within it. 0 means that all of them are.
+	Weight float64
 }
 
 // Worker is a machine that runs tasks, from when the platform lists it until the
