scheduler: workspaces stay within their limits

Cause: nothing keeps a workspace within its maximum. Change: the holder accounts each run by its state. It checks the limit when it places a unit and when it sends a start, reserves the part of the limit that urgent work within its guarantee needs, and stops other work of the workspace for it. The outcome of a job lists the workers on which its runs may be left, so that a successor counts them. Jobs beyond the share of their workspace rank after the others of their priority. The invariant checks of the randomized schedules compare the accounts with the runs.

--- a/internal/workload/ranker/ranker.go
+++ b/internal/workload/ranker/ranker.go
@@ -25,6 +25,8 @@
 	NowMS       int64 // Unix milliseconds
 	// Claims is set if the job's workspace is guaranteed the capacity.
 	Claims bool
+	// BeyondShare is set if the job is beyond its workspace's share of new jobs.
+	BeyondShare bool
 }
 
 // Key is the sort key of a job; see Compare.
@@ -32,6 +34,8 @@
 	Priority int
 	// Claims is set if the job's workspace is guaranteed the capacity.
 	Claims bool
+	// BeyondShare is set if the job is beyond its workspace's share of new jobs.
+	BeyondShare bool
 	// Expired is set when the job can no longer earn any credit.
 	Expired bool
 	// LatestStartMS is the latest start, in Unix milliseconds, that still lets the
@@ -50,6 +54,7 @@
 	return Key{
 		Priority:      in.Priority,
 		Claims:        in.Claims,
+		BeyondShare:   in.BeyondShare,
 		Expired:       in.NowMS+criticalPathMS > in.AcceptedMS+expiryFactor*objectiveMS,
 		LatestStartMS: in.AcceptedMS + objectiveMS - criticalPathMS,
 	}
@@ -77,12 +82,13 @@
 
 // Compare returns a negative number if a goes before b, a positive number if b
 // goes before a, and 0 if they are equal. It orders by priority, then puts jobs that claim
-// guaranteed capacity first, since other work is preempted for them, and expired jobs last, then
-// orders by latest start.
+// guaranteed capacity first, since other work is preempted for them, jobs beyond their workspace's
+// share after those within it, and expired jobs last, then orders by latest start.
 func Compare(a, b Key) int {
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
 		compareBool(b.Claims, a.Claims),
+		compareBool(a.BeyondShare, b.BeyondShare),
 		compareBool(a.Expired, b.Expired),
 		cmp.Compare(a.LatestStartMS, b.LatestStartMS),
 	)
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -281,6 +281,18 @@
 	// Term is the latest term in which a start of the job's tasks may have been sent, 0 in
 	// records of earlier versions.
 	Term uint64 `cbor:",omitempty"`
+	// Left lists the workers on which runs of the job may be present, or be started, although the
+	// records of its units are removed.
+	Left []LeftRuns `cbor:",omitempty"`
+}
+
+// LeftRuns is what may be present of an ended job on one worker.
+type LeftRuns struct {
+	Worker string
+	// Need is the sum of what the tasks need.
+	Need describer.Resources
+	// Late is set if some of them may still be started late.
+	Late bool `cbor:",omitempty"`
 }
 
 // State is the state of a job as callers see it.
--- a/internal/workload/scheduler/checker_test.go
+++ b/internal/workload/scheduler/checker_test.go
@@ -14,6 +14,7 @@
 type observedJob struct {
 	steps        []describer.Step
 	queue        describer.Queue
+	workspace    string
 	submittedMS  int64
 	cancelledMS  int64
 	firstStartMS int64
@@ -62,6 +63,8 @@
 	executingLate bool
 	// executingSentMS is when the order that is being executed was sent.
 	executingSentMS int64
+	// limits are the limits of the workspaces over time.
+	limits limitHistory
 }
 
 // doneEnd is a successful end that is not confirmed yet.
@@ -175,6 +178,7 @@
 		}
 	}
 	c.checkCrashes(run.ref, now)
+	c.checkLimit(f, run)
 	c.running[key]++
 	job.startTimesMS = append(job.startTimesMS, now)
 	if !f.fits(run.ref) {
--- a/internal/workload/scheduler/export_test.go
+++ b/internal/workload/scheduler/export_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 
+	"daisyhead/internal/workload/accountant"
+	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/throttler"
 )
 
@@ -73,9 +75,45 @@
 			report("worker %s: a hold counts as queued, but no queue has any", w.ID)
 		}
 	}
+	m.checkAccounts(report)
 	return violations
 }
 
+// checkAccounts checks that the accounts of the workspaces are the sums of their runs.
+func (m *Model) checkAccounts(report func(string, ...any)) {
+	var want accountant.Accounts
+	workspaces := map[string]bool{}
+	add := func(workspace string, c accountant.Class, amount describer.Resources) {
+		workspaces[workspace] = true
+		want.Move(workspace, accountant.None, c, amount)
+	}
+	for _, w := range m.fleet {
+		for _, r := range w.runs.list {
+			if r.class != runClass(r) {
+				report("worker %s: run %s in state %d counts as %s", w.ID, r.ref.Unit, r.state, r.class)
+			}
+			add(r.workspace, r.class, r.quota)
+		}
+	}
+	for _, r := range m.lateStarts {
+		if r.class != accountant.Late && r.class != accountant.Barred {
+			report("late start of %s counts as %s", r.ref.Unit, r.class)
+		}
+		add(r.workspace, r.class, r.quota)
+	}
+	for _, l := range m.left {
+		add(l.workspace, accountant.Unrecorded, l.amount)
+	}
+	for _, w := range m.Config.Workspaces {
+		workspaces[w.Name] = true
+	}
+	for w := range workspaces {
+		if got := m.accounts.Of(w); got != want.Of(w) {
+			report("workspace %s: the accounts have %v, the runs add up to %v", w, got, want.Of(w))
+		}
+	}
+}
+
 // checkLiveJob checks the counts of a job that has not ended, and that it can still end.
 func (m *Model) checkLiveJob(j *job, report func(string, ...any)) {
 	unfinishedSteps, runs := 0, 0
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -20,6 +20,8 @@
 	occurrences []*occurrence
 	// waitReason is the latest reason why a unit had to wait.
 	waitReason string
+	// limitLoggedMS is when a wait for the limit of the workspace was last logged.
+	limitLoggedMS int64
 }
 
 // occurrence is one execution of a job's steps; a scheduled job has several.
@@ -92,6 +94,9 @@
 	if t.Outcome != nil {
 		if m.jobs[id] == nil {
 			m.retain(id)
+			if m.shares.Add(id, t.Submission.Job.Workspace, t.Submission.AcceptedMS) {
+				m.adoptLeft(t)
+			}
 		}
 		return
 	}
@@ -124,6 +129,7 @@
 		m.urgentSeenMS = m.now.MonoMS
 	}
 	m.jobs[j.id] = j
+	m.shares.Add(j.id, sub.Job.Workspace, sub.AcceptedMS)
 	m.liveJobs = append(m.liveJobs, j)
 	for _, id := range sortedUnits(units) {
 		m.adoptUnit(j, id, units[id])
@@ -273,7 +279,7 @@
 		return
 	}
 	m.event("JobEnded", "Job", j.id, "State", state, "Reason", reason, "TookMS", m.now.WallMS-j.submission.AcceptedMS)
-	record := reducer.OutcomeRecord(j.id, reducer.Outcome{State: state, Reason: reason, AtMS: m.now.WallMS, Term: m.term.number})
+	record := reducer.OutcomeRecord(j.id, reducer.Outcome{State: state, Reason: reason, AtMS: m.now.WallMS, Term: m.term.number, Left: m.leftOf(j)})
 	m.propose(record, func(m *Model) { delete(m.pendingOutcomes, j.id) })
 	if state == reducer.StateCompleted {
 		m.pendingOutcomes[j.id] = &pendingOutcome{record: record, sinceMS: m.now.MonoMS}
@@ -304,6 +310,7 @@
 		for _, r := range reducer.JobTombstones(m.endedJobs[0].id) {
 			m.propose(r)
 		}
+		m.shares.Remove(m.endedJobs[0].id)
 		delete(m.jobs, m.endedJobs[0].id)
 		m.endedJobs = m.endedJobs[1:]
 	}
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"daisyhead/internal/workload/accountant"
 	"daisyhead/internal/workload/reducer"
 )
 
@@ -40,6 +41,7 @@
 		r.lateStartUntilMS = max(r.lateStartUntilMS, r.orderSentMS+maxOrderDelayMS)
 	}
 	if r.blocked == nil && (r.lateStartUntilMS == 0 || m.lateStartSettled(r)) {
+		m.accountAs(r, accountant.None)
 		return
 	}
 	if r.unit != nil {
@@ -48,6 +50,7 @@
 	}
 	m.lateStarts = append(m.lateStarts, r)
 	m.lateStartCounts[r.worker.ID]++
+	m.accountLateStart(r)
 }
 
 // lateStartsOf returns the late starts for which the unit waits, among them those of stray
@@ -121,10 +124,12 @@
 	for _, s := range u.record.LateStarts {
 		untilMS := m.recordedExpiryMS(u, s.WaitMS)
 		forMS = max(forMS, untilMS-m.now.MonoMS)
-		m.lateStarts = append(m.lateStarts, &run{
+		r := &run{
 			ref: TaskRef{Unit: u.id, Member: s.Member, Run: s.Run}, worker: m.worker(s.Worker), need: u.step.spec.Reserved(),
-			state: runStopping, lateStartUntilMS: untilMS, blocked: u,
-		})
+			state: runStopping, lateStartUntilMS: untilMS, blocked: u, workspace: u.workspace(), quota: u.step.spec.Need,
+		}
+		m.lateStarts = append(m.lateStarts, r)
+		m.accountLateStart(r)
 		m.lateStartCounts[s.Worker]++
 		u.lateStarts++
 	}
@@ -159,7 +164,9 @@
 			return false
 		}
 		r.worker, r.unit, r.orderInFlight, r.startInFlight, r.orderQueued, r.lastAnswerMS, r.state = w, nil, false, false, false, 0, runStopping
+		r.bars = true
 		w.runs.add(r)
+		m.account(r)
 		w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
 		m.event("RunBarred", "Job", r.ref.Unit.Job, "Unit", r.ref.Unit.String(), "Run", r.ref.Run, "Worker", w.ID)
 		m.queueStop(r)
@@ -233,6 +240,7 @@
 			return false
 		}
 		released = append(released, r)
+		m.accountAs(r, accountant.None)
 		m.lateStartCounts[r.worker.ID]--
 		return true
 	})
--- /dev/null
+++ b/internal/workload/scheduler/limits.go
@@ -0,0 +1,428 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"daisyhead/internal/workload/accountant"
+	"daisyhead/internal/workload/describer"
+	"daisyhead/internal/workload/packer"
+	"daisyhead/internal/workload/reducer"
+)
+
+// The limits of workspaces: see docs/design/workspace-limits.md.
+
+// waitLimit is the reason of a wait for the limit of the workspace, as the log names it.
+const waitLimit = "the limit of the workspace"
+
+// limitLogIntervalMS is the least time between two log entries about a job's wait for its limit:
+// steps of one job may wait for different reasons, which would be logged with each pass.
+const limitLogIntervalMS = 1000
+
+// defaultShareWindowMS is Config.ShareWindowMS where that is 0.
+const defaultShareWindowMS = 5000
+
+// limit returns the limit of a workspace. It has no effect if the workspace has none.
+func (m *Model) limit(workspace string) accountant.Limit {
+	w, _ := m.Config.Workspace(workspace)
+	return accountant.Limit{Maximum: w.Maximum, Tolerance: m.cfg.LimitTolerance}
+}
+
+// configured reports whether a configuration has been read. Without one, the limits are not known.
+func (m *Model) configured() bool { return m.Config.Version > 0 }
+
+// need returns what the unit counts towards its workspace's limit.
+func (u *unit) need() describer.Resources { return accountant.UnitNeed(u.step.spec) }
+
+// runClass returns the class in which a run on a worker's list counts.
+func runClass(r *run) accountant.Class {
+	switch r.state {
+	case runPlanned:
+		return accountant.Planned
+	case runPresent:
+		return accountant.Present
+	case runStopping, runStopConfirmed:
+		if r.bars {
+			return accountant.Late
+		}
+		return accountant.Stopping
+	}
+	return accountant.Starting
+}
+
+// account updates the accounts for a run on a worker's list after it was added or its state has
+// changed.
+func (m *Model) account(r *run) { m.accountAs(r, runClass(r)) }
+
+// accountAs updates the accounts for a run that counts in the given class from now on.
+func (m *Model) accountAs(r *run, c accountant.Class) {
+	if r.class != c {
+		m.accounts.Move(r.workspace, r.class, c, r.quota)
+		r.class = c
+	}
+}
+
+// accountLateStart updates the accounts for a run in lateStarts.
+func (m *Model) accountLateStart(r *run) {
+	c := accountant.Late
+	if r.barredIn != 0 && r.barredIn == r.worker.incarnation && r.worker.answered {
+		c = accountant.Barred
+	}
+	m.accountAs(r, c)
+}
+
+// setQuota sets which workspace a run without a unit counts for, and how much.
+func (m *Model) setQuota(r *run) {
+	id := r.ref.Unit
+	if j, live := m.jobs[id.Job]; live {
+		r.workspace = j.submission.Job.Workspace
+	} else if t, known := m.Table.Lookup(id.Job); known {
+		r.workspace = t.Submission.Job.Workspace
+	}
+	if s, ok := m.stepOf(id); ok {
+		r.quota = s.Need
+	}
+}
+
+// limitView is a workspace's limit and use as a scheduling pass sees them.
+type limitView struct {
+	limit   accountant.Limit
+	limited bool
+	// reserved is what units of the workspace need that have a reservation, or for which other
+	// work of the workspace is being stopped.
+	reserved describer.Resources
+	// stoppable caches, for units that may preempt borrowed ones and for those that may not, what
+	// may be stopped, and stopping what is being stopped. Both hold for the plan's value of
+	// preempted.
+	stoppable map[bool][]*unit
+	stopping  describer.Resources
+	preempted int
+}
+
+// limitView returns the view of a workspace.
+func (m *Model) limitView(p *plan, workspace string) *limitView {
+	v := p.limits[workspace]
+	if v == nil {
+		v = &limitView{limit: m.limit(workspace), preempted: -1}
+		v.limited = v.limit.Limited()
+		p.limits[workspace] = v
+	}
+	return v
+}
+
+// reserveLimit counts what the unit needs as reserved for it.
+func (m *Model) reserveLimit(p *plan, u *unit) {
+	v := m.limitView(p, u.workspace())
+	v.reserved = v.reserved.Add(u.need())
+}
+
+// releaseLimit takes that back.
+func (m *Model) releaseLimit(p *plan, u *unit) {
+	v := m.limitView(p, u.workspace())
+	v.reserved = v.reserved.Sub(u.need())
+}
+
+// useBeside returns what the unit's workspace uses beside a waiting unit.
+func (m *Model) useBeside(v *limitView, u *unit) accountant.Use {
+	use := m.accounts.Of(u.workspace()).With(accountant.Reserved, v.reserved)
+	if u.reservation != nil {
+		use = use.Without(accountant.Reserved, u.need())
+	}
+	return use
+}
+
+// withinLimit reports whether the limit of its workspace allows a waiting unit to start. If it does
+// not, the job's wait is logged.
+func (m *Model) withinLimit(p *plan, u *unit) bool {
+	v := m.limitView(p, u.workspace())
+	if !v.limited {
+		return true
+	}
+	use := m.useBeside(v, u)
+	short, is := v.limit.Short(use, u.need())
+	if is {
+		m.setLimitWait(u, short, v.limit, use)
+	}
+	return !is
+}
+
+// setLimitWait logs that the job waits for the limit of its workspace, unless that was the reason
+// before.
+func (m *Model) setLimitWait(u *unit, short accountant.Resource, l accountant.Limit, use accountant.Use) {
+	j := u.step.job
+	if j.waitReason == waitLimit || j.limitLoggedMS > 0 && m.now.MonoMS-j.limitLoggedMS < limitLogIntervalMS {
+		return
+	}
+	j.waitReason, j.limitLoggedMS = waitLimit, m.now.MonoMS
+	m.event("JobWaits", append([]any{"Job", j.id, "Reason", waitLimit, "Workers", len(m.workers)}, limitFields(u, short, l, use)...)...)
+}
+
+// limitFields are the fields of the log that explain a wait for the limit. Possible is false if the
+// unit needs more than the workspace may ever have running.
+func limitFields(u *unit, short accountant.Resource, l accountant.Limit, use accountant.Use) []any {
+	return []any{
+		"Workspace", u.workspace(), "Resource", short.Name, "Maximum", short.Of(l.Maximum), "Need", short.Of(u.need()),
+		"InUse", short.Of(use.Firm()), "Uncertain", short.Of(use.Uncertain()), "Possible", l.Admits(u.need()),
+	}
+}
+
+// claimLimit makes room in the limit of its workspace for an urgent unit within its guarantee, and
+// reserves what the unit needs. It does nothing for other units, and if stopping other work of the
+// workspace can't make the unit fit. A limit below the guarantee takes precedence.
+func (m *Model) claimLimit(p *plan, nodes []packer.Node, c candidate, u *unit, shape requestShape) (claimed bool) {
+	if !shape.urgent || p.split == nil || !p.split.claiming[u] {
+		return false
+	}
+	v := m.limitView(p, u.workspace())
+	victims, ok := m.limitVictims(p, v, u, shape.claims)
+	if !ok {
+		return false
+	}
+	for _, o := range victims {
+		m.event("UnitPreempted", "Job", o.id.Job, "Unit", o.id.String(), "For", u.id.Job, "LostCoreMS", int64(m.unitLoss(o)), "Claimed", true, "Borrowed", m.urgent(o), "Limit", true)
+		m.stopUnit(o, "preempted for job "+u.id.Job)
+	}
+	if len(victims) > 0 {
+		p.forgetPreemptions()
+	}
+	if u.reservation == nil {
+		m.reservePlaces(p, nodes, c, u, shape)
+	}
+	if u.reservation == nil {
+		m.reserveLimit(p, u)
+	}
+	return true
+}
+
+// limitVictims returns the units to stop so that the limit allows the unit, beside those that are
+// stopping already. ok is false if that is not enough.
+func (m *Model) limitVictims(p *plan, v *limitView, u *unit, claims bool) (victims []*unit, ok bool) {
+	if v.preempted != p.preempted {
+		v.stoppable, v.stopping, v.preempted = map[bool][]*unit{}, m.stoppingSoon(u.workspace()), p.preempted
+	}
+	missing := v.limit.Excess(m.useBeside(v, u), u.need()).Sub(v.stopping)
+	if !exceeds(missing) {
+		return nil, v.limit.Admits(u.need())
+	}
+	if !v.limit.Admits(u.need()) {
+		return nil, false
+	}
+	for _, o := range m.stoppableFor(p, v, u.workspace(), claims) {
+		if !exceeds(missing) {
+			break
+		}
+		if relieves(missing, o.need()) {
+			victims = append(victims, o)
+			missing = missing.Sub(o.need())
+		}
+	}
+	if exceeds(missing) {
+		return nil, false
+	}
+	// What was chosen last may make earlier, smaller ones needless.
+	for i := len(victims) - 1; i >= 0; i-- {
+		if without := missing.Add(victims[i].need()); !exceeds(without) {
+			missing = without
+			victims = slices.Delete(victims, i, i+1)
+		}
+	}
+	return victims, true
+}
+
+// exceeds reports whether any amount is above 0.
+func exceeds(r describer.Resources) bool { return max(r.CPU, r.MemoryMB, r.Accelerators) > 0 }
+
+// relieves reports whether an amount reduces what is missing.
+func relieves(missing, amount describer.Resources) bool {
+	return slices.ContainsFunc(accountant.Resources, func(r accountant.Resource) bool { return r.Of(missing) > 0 && r.Of(amount) > 0 })
+}
+
+// stoppingSoon returns what the workspace's units use that are stopping, without those that should
+// have stopped by now.
+func (m *Model) stoppingSoon(workspace string) (total describer.Resources) {
+	if m.accounts.Of(workspace)[accountant.Stopping] == (describer.Resources{}) {
+		return total
+	}
+	for _, w := range m.fleet {
+		for _, r := range w.runs.list {
+			if r.class == accountant.Stopping && r.workspace == workspace && r.unit != nil && !m.stopOverdue(r.unit) {
+				total = total.Add(r.quota)
+			}
+		}
+	}
+	return total
+}
+
+// stoppableFor returns the units of the workspace that may be stopped for another one, in ascending
+// order of what that costs: those that are not urgent, and for a unit that claims its place also
+// borrowed ones.
+func (m *Model) stoppableFor(p *plan, v *limitView, workspace string, claims bool) []*unit {
+	units, cached := v.stoppable[claims]
+	if !cached {
+		for _, j := range m.liveJobs {
+			if j.submission.Job.Workspace != workspace {
+				continue
+			}
+			for o := range j.units {
+				if !o.placed() || o.step.spec.MaxUnavailable > 0 && !(claims && o.spare()) {
+					continue
+				}
+				if !m.urgent(o) || claims && m.borrowed(p, o) {
+					units = append(units, o)
+				}
+			}
+		}
+		slices.SortStableFunc(units, func(a, b *unit) int { return cmp.Compare(m.stopCost(a), m.stopCost(b)) })
+		v.stoppable[claims] = units
+	}
+	return units
+}
+
+// stopCost is preemptionCost for a unit.
+func (m *Model) stopCost(u *unit) float64 {
+	if m.urgent(u) {
+		return m.unitLoss(u) + urgentPenalty
+	}
+	return m.unitLoss(u)
+}
+
+// startAllowed reports whether the limit of its workspace allows the start of a run now, beside all
+// runs that may be present: the limit may have become lower since the unit was placed, or other runs
+// may have turned up. Other units of which nothing was sent don't count.
+func (m *Model) startAllowed(r *run) bool {
+	u := r.unit
+	limit := m.limit(u.workspace())
+	if !limit.Limited() {
+		return true
+	}
+	use := m.accounts.Of(u.workspace())
+	if limit.Allows(use, describer.Resources{}) {
+		// The use includes the whole unit.
+		return true
+	}
+	use = use.Without(accountant.Planned, use[accountant.Planned])
+	for _, o := range u.runs {
+		if o.class != accountant.Planned {
+			use = use.Without(o.class, o.quota)
+		}
+	}
+	return limit.Allows(use, u.need())
+}
+
+// unsent reports whether no start of the unit's run was sent.
+func (u *unit) unsent() bool {
+	return !slices.ContainsFunc(u.runs, func(r *run) bool { return r.state != runPlanned })
+}
+
+// leftRuns is what may be present on a worker of a job whose outcome is recorded.
+type leftRuns struct {
+	worker    string
+	workspace string
+	amount    describer.Resources
+	// untilMS is when its lease has certainly expired.
+	untilMS int64
+}
+
+// leftMemoryMS is how long after an outcome, by the wall clock, runs that it lists may be present:
+// the longest delay of an order, and the longest time without the ledger and leases, several times.
+const leftMemoryMS = 60_000
+
+// leftOf lists for the outcome of a job where its runs may be present or be started late.
+func (m *Model) leftOf(j *job) (left []reducer.LeftRuns) {
+	byWorker := map[string]*reducer.LeftRuns{}
+	add := func(r *run) {
+		counts := r.class != accountant.None && r.class != accountant.Planned && r.class != accountant.Barred
+		// The tasks of a gang end together.
+		ended := r.class == accountant.Present && r.unit != nil && r.unit.state == unitDone && r.unit.record.Run == r.ref.Run
+		if r.ref.Unit.Job != j.id || !counts || ended {
+			return
+		}
+		l := byWorker[r.worker.ID]
+		if l == nil {
+			l = &reducer.LeftRuns{Worker: r.worker.ID}
+			byWorker[r.worker.ID] = l
+		}
+		l.Need = l.Need.Add(r.quota)
+		l.Late = l.Late || m.now.MonoMS < r.lateStartUntilMS || r.startInFlight
+	}
+	for u := range j.units {
+		for _, r := range u.runs {
+			add(r)
+		}
+	}
+	for _, r := range m.lateStarts {
+		add(r)
+	}
+	for _, l := range byWorker {
+		left = append(left, *l)
+	}
+	slices.SortFunc(left, func(a, b reducer.LeftRuns) int { return cmp.Compare(a.Worker, b.Worker) })
+	return left
+}
+
+// resetAccounts clears the accounts at the begin and at the end of a term.
+func (m *Model) resetAccounts() {
+	m.accounts.Reset()
+	m.shares.Reset()
+	m.left = nil
+}
+
+// adoptLeft counts the runs that may be left of a job that ended under an earlier holder.
+func (m *Model) adoptLeft(t *reducer.Job) {
+	if t.Outcome == nil || m.now.WallMS-t.Outcome.AtMS > leftMemoryMS {
+		return
+	}
+	for _, l := range t.Outcome.Left {
+		w := m.worker(l.Worker)
+		r := &leftRuns{worker: l.Worker, workspace: t.Submission.Job.Workspace, amount: l.Need, untilMS: w.leaseEndMS}
+		if l.Late {
+			r.untilMS = max(r.untilMS, m.startsExpireMS(t.Outcome.Term)+withDrift(m.cfg.LeaseMS))
+		}
+		if m.now.MonoMS >= r.untilMS {
+			continue
+		}
+		m.accounts.Move(r.workspace, accountant.None, accountant.Unrecorded, r.amount)
+		m.left = append(m.left, r)
+	}
+}
+
+// releaseLeft forgets the runs that may be left on workers that have answered in the term, whose
+// reports show them, or whose leases have expired.
+func (m *Model) releaseLeft() {
+	m.left = slices.DeleteFunc(m.left, func(r *leftRuns) bool {
+		w := m.workers[r.worker]
+		if m.now.MonoMS < r.untilMS && (w == nil || !w.answeredInTerm) {
+			return false
+		}
+		m.accounts.Move(r.workspace, accountant.Unrecorded, accountant.None, r.amount)
+		m.passNeeded = true
+		return true
+	})
+}
+
+// beyondShare reports whether the job is beyond its workspace's share of new jobs.
+func (m *Model) beyondShare(j *job) bool {
+	w, _ := m.Config.Workspace(j.submission.Job.Workspace)
+	return m.shares.Beyond(w.Name, j.submission.AcceptedMS, w.Weight, cmp.Or(m.cfg.ShareWindowMS, defaultShareWindowMS))
+}
+
+// WorkspaceUse is the use and the limit of one resource of a workspace.
+type WorkspaceUse struct {
+	Workspace, Resource string
+	// Use includes all that counts towards Limit, which is 0 if the resource is not limited.
+	Use, Limit int
+}
+
+// WorkspaceUses returns statistics for metrics. Only the holder has any.
+func (m *Model) WorkspaceUses() (uses []WorkspaceUse) {
+	if !m.deciding() {
+		return nil
+	}
+	for _, w := range m.Config.Workspaces {
+		use := m.accounts.Of(w.Name)
+		for _, r := range accountant.Resources {
+			uses = append(uses, WorkspaceUse{Workspace: w.Name, Resource: r.Name, Use: r.Of(use.Firm()) + r.Of(use.Uncertain()), Limit: r.Of(w.Maximum)})
+		}
+	}
+	return uses
+}
--- a/internal/workload/scheduler/load_test.go
+++ b/internal/workload/scheduler/load_test.go
@@ -262,6 +262,7 @@
 
 // configure puts a configuration into force on all instances.
 func (sim *simulation) configure(c *describer.Configuration, _ bool) {
+	sim.checker.limits.replace(sim.nowMS, c)
 	sim.config = c
 	for _, i := range sim.instances {
 		i.send(scheduler.ConfiguredMsg{Configuration: c})
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -28,6 +28,7 @@
 package scheduler
 
 import (
+	"daisyhead/internal/workload/accountant"
 	"daisyhead/internal/workload/calibrator"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/reducer"
@@ -53,6 +54,11 @@
 	ReclaimMS int64
 	// RetainMS is how long callers can query a job after its end.
 	RetainMS int64
+	// LimitTolerance is the part of a workspace's limit by which it may be exceeded.
+	LimitTolerance float64
+	// ShareWindowMS is the window in which a workspace's new jobs are counted for its share; 0
+	// counts as defaultShareWindowMS.
+	ShareWindowMS int64
 }
 
 // Time limits of the control loop, in milliseconds.
@@ -222,6 +228,12 @@
 	lateStartCounts map[string]int
 	// unsettled are running units that are not recorded as settled.
 	unsettled []*unit
+	// accounts holds what each workspace uses: its runs, its late starts and left.
+	accounts accountant.Accounts
+	// left are runs of ended jobs that may be present on workers that have not answered yet.
+	left []*leftRuns
+	// shares counts the jobs in the table by their acceptance.
+	shares accountant.Shares
 	// fleet lists the workers by ID.
 	fleet []*worker
 	jobs  map[string]*job
@@ -366,6 +378,7 @@
 	m.offerTermIfWeak()
 	m.checkWorkers()
 	m.settleLateStarts()
+	m.releaseLeft()
 	m.retryOrders()
 	m.relayOutcomes()
 	m.removeEndedJobs()
--- a/internal/workload/scheduler/orders.go
+++ b/internal/workload/scheduler/orders.go
@@ -120,6 +120,11 @@
 	case (r.state == runPlanned || r.state == runStartSent) && !w.hasRoomFor(r):
 		// The stop also bars a start that was sent before and may still be executed.
 		m.stopUnit(r.unit, "worker "+w.ID+" has shrunk before the start was confirmed")
+	case (r.state == runPlanned || r.state == runStartSent) && !m.startAllowed(r):
+		// The start is tried again until the unit's time for it is over.
+		if r.unit.unsent() {
+			m.stopUnit(r.unit, waitLimit+" was used up before the start was sent")
+		}
 	case (r.state == runPlanned || r.state == runStartSent) && m.mayStart(r):
 		m.sendStart(r, m.orders.Sent(m.now.MonoMS, o))
 		return true
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -51,6 +51,10 @@
 	startBudget, relaxBudget int
 	// quarantined lists the workers that only their quarantine closes.
 	quarantined []int
+	// limits holds the views of the workspaces' limits. preempted counts how often units were
+	// preempted in this pass.
+	limits    map[string]*limitView
+	preempted int
 }
 
 // reclaimableKey is the index of a worker, and whether it is for a unit that claims its place.
@@ -110,7 +114,7 @@
 
 // pass places waiting units in order of rank while there is capacity.
 func (m *Model) pass() {
-	if !m.passNeeded || !m.tableFresh() || !m.listFresh() || m.now.MonoMS-m.lastPassMS < max(minPassIntervalMS, m.passPauseMS) {
+	if !m.passNeeded || !m.configured() || !m.tableFresh() || !m.listFresh() || m.now.MonoMS-m.lastPassMS < max(minPassIntervalMS, m.passPauseMS) {
 		return
 	}
 	m.passNeeded, m.lastPassMS = false, m.now.MonoMS
@@ -169,12 +173,13 @@
 	return ranker.Rank(ranker.Input{
 		Priority: q.Priority, Steps: j.submission.Job.Steps, Stretch: q.Stretch, ObjectiveMS: q.ObjectiveMS,
 		AcceptedMS: max(j.submission.AcceptedMS, s.occurrence.dueMS), NowMS: m.now.WallMS, Claims: q.Priority == 0 && split != nil && split.claiming[s.firstWaiting()],
+		BeyondShare: m.beyondShare(j),
 	})
 }
 
 // newPlan returns a plan in which running tasks and reservations use capacity.
 func (m *Model) newPlan() *plan {
-	p := &plan{startBudget: m.startBudget(), relaxBudget: relaxesPerPass, urgentUse: map[string]int{}, unplaceable: map[requestShape]bool{}, preemptions: map[requestShape]preemption{}, reclaimable: map[reclaimableKey][]*run{}, index: map[*worker]int{}, trials: map[int]bool{}, idleAccelerators: map[string]int{}, openAccelerators: map[string]int{}, capacity: map[string]*capacity{}}
+	p := &plan{startBudget: m.startBudget(), relaxBudget: relaxesPerPass, urgentUse: map[string]int{}, unplaceable: map[requestShape]bool{}, preemptions: map[requestShape]preemption{}, reclaimable: map[reclaimableKey][]*run{}, index: map[*worker]int{}, trials: map[int]bool{}, idleAccelerators: map[string]int{}, openAccelerators: map[string]int{}, capacity: map[string]*capacity{}, limits: map[string]*limitView{}}
 	p.workers = m.fleet
 	for i, w := range p.workers {
 		p.index[w] = i
@@ -194,6 +199,7 @@
 	m.removeStaleReservations()
 	for _, res := range m.reservations {
 		p.reserve(res)
+		m.reserveLimit(p, res.unit)
 		p.urgentUse[res.unit.step.job.submission.Job.Workspace] += len(res.workers) * res.request.Need.Accelerators
 	}
 	for i, n := range p.nodes {
@@ -303,6 +309,12 @@
 			shape.claims = m.claims(p, u)
 			shape.certain = shape.claims && u.missedReservation
 		}
+		if !m.withinLimit(p, u) {
+			if m.claimLimit(p, nodes, c, u, shape) || u.reservation != nil {
+				continue
+			}
+			return
+		}
 		var places []int
 		ok := false
 		if possible {
@@ -339,6 +351,8 @@
 		p.notePlaced(places, u)
 		if u.reservation == nil {
 			p.urgentUse[c.step.job.submission.Job.Workspace] += r.Count * r.Need.Accelerators
+		} else {
+			m.releaseLimit(p, u)
 		}
 		u.reservation = nil
 		u.record.InGuarantee = shape.urgent && p.split.claiming[u]
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -119,6 +119,10 @@
 	if p.Checkpoint != "" && r.unit != nil && r.unit.state != unitDone {
 		r.unit.record.Checkpoint = p.Checkpoint
 	}
+	if r.bars {
+		r.bars = false
+		m.account(r)
+	}
 	r.percent = p.Percent
 	m.markPresent(r)
 	m.checkStarted(r.unit)
@@ -142,7 +146,9 @@
 			m.stopUnit(u, "another run is still on worker "+w.ID)
 		}
 	}
+	m.setQuota(r)
 	w.runs.add(r)
+	m.account(r)
 	w.leaseEndMS = max(w.leaseEndMS, m.now.MonoMS+withDrift(m.cfg.LeaseMS))
 	state, beside := m.otherRuns(p.Task)
 	m.event("StrayRun", "Job", p.Task.Unit.Job, "Unit", p.Task.Unit.String(), "Run", p.Task.Run, "Worker", w.ID, "Incarnation", w.incarnation, "UnitState", state)
@@ -284,6 +290,7 @@
 		}
 		if m.mayCompleteStart(r) {
 			r.state = runPlanned
+			m.account(r)
 			m.completeStart(r)
 			continue
 		}
--- a/internal/workload/scheduler/reservation.go
+++ b/internal/workload/scheduler/reservation.go
@@ -127,15 +127,42 @@
 	}
 	u.reservation = res
 	m.reservations = append(m.reservations, res)
+	m.reserveLimit(p, u)
 	m.event("RoomBooked", "Job", u.id.Job, "Unit", u.id.String(), "Workers", workerIDs(res.workers), "Stops", len(found.victims), "Claimed", found.withinGuarantee, "InGuarantee", shape.claims)
 	for _, r := range found.victims {
 		m.event("UnitPreempted", "Job", r.ref.Unit.Job, "Unit", r.ref.Unit.String(), "For", u.id.Job, "Worker", r.worker.ID, "LostCoreMS", int64(m.loss(r)), "Claimed", found.withinGuarantee, "Borrowed", m.urgent(r.unit))
 		m.stopUnit(r.unit, "preempted for job "+u.id.Job)
 	}
+	p.forgetPreemptions()
+	p.reserve(res)
+	return true, true
+}
+
+// forgetPreemptions clears what depends on which units may be preempted, after some were.
+func (p *plan) forgetPreemptions() {
 	clear(p.reclaimable)
 	p.borrowed = nil
+	p.version++
+	p.preempted++
+}
+
+// reservePlaces reserves capacity for an urgent unit that waits for the limit of its workspace: what
+// is free, or else what is preempted for it.
+func (m *Model) reservePlaces(p *plan, nodes []packer.Node, c candidate, u *unit, shape requestShape) {
+	places, ok := m.findPlaces(p, nodes, c, u, shape)
+	if !ok {
+		return
+	}
+	res := &reservation{unit: u, request: shape.request, createdMS: m.now.MonoMS, claims: shape.claims}
+	for _, i := range places {
+		res.workers = append(res.workers, p.workers[i])
+	}
+	u.reservation = res
+	m.reservations = append(m.reservations, res)
+	m.reserveLimit(p, u)
+	p.urgentUse[u.workspace()] += shape.request.Count * shape.request.Need.Accelerators
 	p.reserve(res)
-	return true, true
+	m.event("RoomBooked", "Job", u.id.Job, "Unit", u.id.String(), "Workers", workerIDs(res.workers), "Stops", 0, "Claimed", true, "InGuarantee", shape.claims)
 }
 
 // preemption is a placement of an urgent unit that becomes possible once the victims
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"daisyhead/internal/workload/accountant"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/forecaster"
 	"daisyhead/internal/workload/throttler"
@@ -33,6 +34,13 @@
 	worker *worker
 	need   describer.Resources
 	state  runState
+	// workspace is whose limit the run counts towards, quota how much, and class in which class
+	// it is counted.
+	workspace string
+	quota     describer.Resources
+	class     accountant.Class
+	// bars is set for a removed run that is on its worker's list again only to bar late starts.
+	bars bool
 	// incarnation is that of the worker when the run was placed, 0 if it is not known.
 	incarnation int64
 	// crashCounted is set once the loss of its worker was counted against the unit.
@@ -95,18 +103,19 @@
 
 // addRun adds a run of the unit's i-th task, which occupies capacity from now on.
 func (m *Model) addRun(u *unit, i int, w *worker, s runState) *run {
-	r := &run{ref: u.taskRef(u.memberIndex(i)), unit: u, worker: w, need: u.step.spec.Reserved(), state: s}
+	r := &run{ref: u.taskRef(u.memberIndex(i)), unit: u, worker: w, need: u.step.spec.Reserved(), state: s, workspace: u.workspace(), quota: u.step.spec.Need}
 	u.runs = append(u.runs, r)
 	w.runs.add(r)
+	m.account(r)
 	return r
 }
 
-// mayStart reports whether a start may be sent now. It may not while an order is in
+// mayStart reports whether a start may be sent now. It may not while no configuration is known, an order is in
 // flight, its term is not recorded, the worker has not answered, owes an answer or may get no
 // lease, the table is too old to show a recent cancellation, or the list too old to show a
 // recent change of the capacity; retryOrders tries again.
 func (m *Model) mayStart(r *run) bool {
-	return !r.orderInFlight && !r.unit.termUnrecorded && r.worker.answered && !r.worker.owesAnswer() && !r.worker.unreachedRecorded && m.tableFresh() && m.listFresh()
+	return m.configured() && !r.orderInFlight && !r.unit.termUnrecorded && r.worker.answered && !r.worker.owesAnswer() && !r.worker.unreachedRecorded && m.tableFresh() && m.listFresh()
 }
 
 // hasRoomFor reports whether the run fits the worker's capacity beside the other runs that
@@ -125,6 +134,7 @@
 func (m *Model) sendStart(r *run, orderID uint64) {
 	w, u := r.worker, r.unit
 	r.state, r.orderInFlight, r.startInFlight, r.orderSentMS = runStartSent, true, true, m.now.MonoMS
+	m.account(r)
 	m.emit(StartCmd{
 		OrderID: orderID, Worker: w.ID, Address: w.Address, Task: r.ref, Spec: u.step.job.submission.Job.Spec,
 		Checkpoint: u.record.Checkpoint, Ticket: m.ticket(r), DeadlineMS: m.grantLease(w), Term: m.term.number,
@@ -183,6 +193,7 @@
 	case OrderNotSent:
 		if r.state == runStartSent && r.lateStartUntilMS == 0 {
 			r.state = runPlanned
+			m.account(r)
 		}
 		m.event("StartNotSent", "Job", msg.Task.Unit.Job, "Unit", msg.Task.Unit.String(), "Run", msg.Task.Run, "Worker", msg.Worker, "Error", msg.Err)
 		m.noteUnanswered(r.worker, r.orderSentMS)
@@ -234,6 +245,7 @@
 		return
 	}
 	r.state = runPresent
+	m.account(r)
 	if r.startedMS == 0 {
 		r.startedMS = m.now.MonoMS
 	}
@@ -249,6 +261,7 @@
 func (m *Model) stopRun(r *run) {
 	if r.state != runStopping && r.state != runStopConfirmed {
 		r.state = runStopping
+		m.account(r)
 		m.queueStop(r)
 	}
 }
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -180,7 +180,7 @@
 
 func (sim *simulation) submitJob(j describer.Job) {
 	q, _ := sim.config.Queue(j.Queue)
-	sim.checker.jobs[j.ID] = &observedJob{steps: j.Steps, submittedMS: sim.nowMS, queue: q}
+	sim.checker.jobs[j.ID] = &observedJob{steps: j.Steps, submittedMS: sim.nowMS, queue: q, workspace: j.Workspace}
 	sim.store(reducer.SubmissionRecord(reducer.Submission{Job: j, Queue: q, AcceptedMS: wallStartMS + sim.nowMS}))
 }
 
@@ -311,6 +311,7 @@
 	i.model = scheduler.New(scheduler.Config{
 		Instance: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.incarnation), Power: i.power,
 		LeaseMS: leaseMS, GangMS: gangTimeoutMS, StopMS: stopDurationMS, ReclaimMS: reclaimMS, RetainMS: 600000,
+		LimitTolerance: limitTolerance,
 	})
 	i.sim.ledger.records = append(i.sim.ledger.records, reducer.InstanceRecord(reducer.Instance{
 		Name: i.name, Holder: fmt.Sprintf("%s/%d", i.name, i.incarnation), Power: i.power,
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -259,6 +259,7 @@
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations, m.endedJobs = map[string]*worker{}, nil, map[string]*job{}, nil, nil, nil
 	m.unconfirmedCrashes, m.lateStarts, m.unsettled = nil, nil, nil
 	clear(m.lateStartCounts)
+	m.resetAccounts()
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.event("TermTaken", "Term", m.term.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
 	m.emit(PollWorkersCmd{On: true})
@@ -276,6 +277,7 @@
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations = map[string]*worker{}, nil, map[string]*job{}, nil, nil
 	m.unconfirmedCrashes, m.lateStarts, m.unsettled = nil, nil, nil
 	clear(m.lateStartCounts)
+	m.resetAccounts()
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.proposer = proposer{}
 	m.orders.Clear()
--- a/internal/workload/scheduler/waits.go
+++ b/internal/workload/scheduler/waits.go
@@ -55,6 +55,8 @@
 	tasks, rackTasks, headroomTasks int
 	// lateStarts describes the starts for which units of the step wait.
 	lateStarts []LateStartWait
+	// limit are the fields that explain a wait for the limit of the workspace.
+	limit []any
 }
 
 // LateStartWait describes in the log the wait for a start that may still be executed.
@@ -118,7 +120,7 @@
 		if len(w.lateStarts) > 0 {
 			fields = append(fields, "LateStarts", w.lateStarts)
 		}
-		m.event("StepWaits", fields...)
+		m.event("StepWaits", append(fields, w.limit...)...)
 	}
 }
 
@@ -167,6 +169,13 @@
 		return w
 	}
 	w.failedWorkers = len(first.failedOn)
+	if v := m.limitView(p, first.workspace()); v.limited {
+		use := m.useBeside(v, first)
+		if short, is := v.limit.Short(use, first.need()); is {
+			w.reason, w.limit = waitLimit, limitFields(first, short, v.limit, use)
+			return w
+		}
+	}
 	spread := r
 	spread.SameRack = false
 	w.reason = waitCapacity
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -393,6 +393,7 @@
 			continue
 		}
 		r.state, r.lastAnswerMS = runStopping, 0
+		m.account(r)
 		m.queueStop(r)
 	}
 	for _, r := range runs {
