acceptor: refuse jobs that can never fit their limit

Cause: a job with a unit above the limit of its workspace would be queued for ever. A job that was accepted before is still answered as accepted. Result: TestAnswer has the cases at, above and before the limit, and passes.

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -74,6 +74,8 @@
 	// MaxTableAge is the maximum age at which the table of jobs counts as up to date. Only an
 	// up-to-date table may say that a job does not exist.
 	MaxTableAge time.Duration
+	// LimitTolerance is the part of its limit by which a workspace may exceed it.
+	LimitTolerance float64
 
 	// servedVersion is the newest configuration version that calls to this instance have been
 	// answered with, here or by a peer.
@@ -135,7 +137,7 @@
 	answer := a.answer(ctx, c)
 	a.recordServedVersion(answer)
 	switch answer.Verdict {
-	case NotRun, OutcomeUnknown, Invalid:
+	case NotRun, OutcomeUnknown, Invalid, OverLimit:
 		cfg, asOf := a.Config.Current()
 		var version uint64
 		if cfg != nil {
@@ -191,7 +193,7 @@
 	case !validID(id):
 		return Answer{Verdict: Invalid, Reason: "a job's ID has 16 hexadecimal digits"}
 	case c.Kind == KindSubmit:
-		return a.submit(ctx, c, q, workspace, id)
+		return a.submit(ctx, c, cfg, q, workspace, id)
 	case c.Kind == KindCancel:
 		return a.cancel(ctx, c, id)
 	}
@@ -219,7 +221,7 @@
 }
 
 // submit stores a job unless it is already in the table: a caller may repeat a submission.
-func (a *Acceptor) submit(ctx context.Context, c Call, q describer.Queue, workspace, id string) Answer {
+func (a *Acceptor) submit(ctx context.Context, c Call, cfg *describer.Configuration, q describer.Queue, workspace, id string) Answer {
 	if c.Job == nil {
 		return Answer{Verdict: Invalid, Reason: c.Fault}
 	}
@@ -232,6 +234,8 @@
 	switch {
 	case ok && v.Known:
 		return Answer{Verdict: Accepted}
+	case a.overLimit(cfg, job) != "":
+		return Answer{Verdict: OverLimit, Reason: a.overLimit(cfg, job)}
 	case !ok || !a.isFresh(v) || !a.Ledger.Reachable():
 		// A ledger that cannot be read probably cannot be written either.
 		return a.forward(ctx, c, "the ledger is out of reach")
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -65,7 +65,7 @@
 func (d *fakeDependencies) Current() (*describer.Configuration, time.Time) {
 	c := &describer.Configuration{
 		Version: 1, Queues: []describer.Queue{{Name: "q", Host: "h", PathPrefix: "/p/"}, {Name: "long", Host: "h", PathPrefix: "/p/long/"}, {Name: "open", Host: "h", PathPrefix: "/open/", Public: true}},
-		Workspaces: []describer.Workspace{{Name: "w", Keys: []string{"key"}}},
+		Workspaces: []describer.Workspace{{Name: "w", Keys: []string{"key"}, Maximum: describer.Resources{Accelerators: 10}}},
 	}
 	c.BuildIndex()
 	return c, time.Now().Add(-d.configAge)
@@ -89,7 +89,7 @@
 func (d *fakeDependencies) Event(string, ...any) {}
 
 func (d *fakeDependencies) acceptor() *acceptor.Acceptor {
-	return &acceptor.Acceptor{Jobs: d, Ledger: d, Config: d, Peers: d, Reporter: d, MaxConfigAge: 1500 * time.Millisecond, MaxOutageConfigAge: 6 * time.Second, MaxTableAge: 1500 * time.Millisecond}
+	return &acceptor.Acceptor{Jobs: d, Ledger: d, Config: d, Peers: d, Reporter: d, MaxConfigAge: 1500 * time.Millisecond, MaxOutageConfigAge: 6 * time.Second, MaxTableAge: 1500 * time.Millisecond, LimitTolerance: 0.1}
 }
 
 func call(kind acceptor.Kind, path, key string) acceptor.Call {
@@ -100,6 +100,13 @@
 	return c
 }
 
+// gangCall submits a gang of tasks with one accelerator each.
+func gangCall(tasks int) acceptor.Call {
+	c := call(acceptor.KindSubmit, "/p/"+id, "key")
+	c.Job = &describer.Job{Steps: []describer.Step{{Count: tasks, Gang: true, Need: describer.Resources{Accelerators: 1}}}}
+	return c
+}
+
 // admittedCall returns a call from a peer that has already checked the key.
 func admittedCall() acceptor.Call {
 	c := call(acceptor.KindState, "/p/"+id, "")
@@ -133,6 +140,9 @@
 	}{
 		{"accepted", fakeDependencies{}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.Accepted, "", 1},
 		{"submitted before", fakeDependencies{views: running}, call(acceptor.KindSubmit, "/p/"+id, "key"), acceptor.Accepted, "", 0},
+		{"a gang of the limit and its tolerance", fakeDependencies{}, gangCall(11), acceptor.Accepted, "", 1},
+		{"a gang that can never fit", fakeDependencies{}, gangCall(12), acceptor.OverLimit, "", 0},
+		{"a gang that was accepted under a higher limit", fakeDependencies{views: running}, gangCall(12), acceptor.Accepted, "", 0},
 		{"an unknown queue is reported before an unknown key", fakeDependencies{}, call(acceptor.KindSubmit, "/x/"+id, "nonsense"), acceptor.QueueNotFound, "", 0},
 		{"unknown key", fakeDependencies{}, call(acceptor.KindSubmit, "/p/"+id, "nonsense"), acceptor.InvalidKey, "", 0},
 		{"no key", fakeDependencies{}, call(acceptor.KindState, "/p/"+id, ""), acceptor.InvalidKey, "", 0},
--- a/internal/workload/acceptor/calls.go
+++ b/internal/workload/acceptor/calls.go
@@ -61,6 +61,8 @@
 	JobNotFound Verdict = "NoJob"
 	// Invalid means that the job or its ID is malformed.
 	Invalid Verdict = "Invalid"
+	// OverLimit means that the job needs more than its workspace may ever have running.
+	OverLimit Verdict = "OverLimit"
 	// NotRun means that the call had no effect and will have none, so it is safe to retry.
 	NotRun Verdict = "NotRun"
 	// OutcomeUnknown means that the call may have had an effect.
