--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -53,6 +53,11 @@
 	ConfigStale time.Duration
 	// Visible is the time within which an accepted job must be visible at every instance.
 	Visible time.Duration
+	// LimitTolerance is the part of its limit by which a workspace may exceed it.
+	LimitTolerance float64
+	// ShareWindow is the window in which a workspace's new jobs are counted for its share; 0 is
+	// the scheduler's default.
+	ShareWindow time.Duration
 }
 
 // WorkerClient sends orders to workers. Start and Stop are for one task; Hold extends the
@@ -122,6 +127,7 @@
 	model := scheduler.New(scheduler.Config{
 		Instance: s.Instance, Holder: inst.holder, Power: s.Power, LeaseMS: s.Lease.Milliseconds(),
 		GangMS: s.GangWait.Milliseconds(), StopMS: s.Stop.Milliseconds(), ReclaimMS: s.Reclaim.Milliseconds(), RetainMS: s.Retain.Milliseconds(),
+		LimitTolerance: s.LimitTolerance, ShareWindowMS: s.ShareWindow.Milliseconds(),
 	})
 	inst.loop = scheduler.NewLoop(model, inst.start)
 	inst.SetSeeds(s.Seeds)
@@ -135,6 +141,7 @@
 	inst.acceptor = &acceptor.Acceptor{
 		Jobs: jobTable{inst}, Ledger: inst.storer, Config: inst.config, Peers: peerCaller{inst}, Reporter: deps.Reporter,
 		MaxConfigAge: s.ConfigDeadline * 3 / 4, MaxOutageConfigAge: s.ConfigStale, MaxTableAge: s.Visible / 2,
+		LimitTolerance: s.LimitTolerance,
 	}
 	return inst
 }
--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -22,6 +22,8 @@
 	ordersInFlight, ordersLimit      prometheus.Gauge
 	ordersQueued, ordersQueueAge     *prometheus.GaugeVec
 	ordersDroppedUnsent, passesPaced prometheus.Gauge
+	// Gauges of the workspaces.
+	workspaceUse, workspaceLimit *prometheus.GaugeVec
 }
 
 func newMeter() *meter {
@@ -51,9 +53,15 @@
 		}, []string{"kind"}),
 		ordersDroppedUnsent: newGauge("daisyhead_orders_dropped_unsent", "Orders dropped since the start because they were no longer wanted when their turn came."),
 		passesPaced:         newGauge("daisyhead_passes_paced", "Scheduling passes since the start that were ended early because of queued starts."),
+		workspaceUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "daisyhead_workspace_use", Help: "What counts towards the limit of each workspace, at the holder.",
+		}, workspaceLabels),
+		workspaceLimit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "daisyhead_workspace_limit", Help: "Limit of each workspace, at the holder. Resources without a limit are left out.",
+		}, workspaceLabels),
 	}
 	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
-		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced)
+		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced, m.workspaceUse, m.workspaceLimit)
 	return m
 }
 
@@ -73,6 +81,21 @@
 	}
 }
 
+// workspaceLabels are the labels of the gauges of the workspaces.
+var workspaceLabels = []string{"Workspace", "Resource"}
+
+// setWorkspaceUses sets the gauges of the workspaces.
+func (m *meter) setWorkspaceUses(uses []scheduler.WorkspaceUse) {
+	m.workspaceUse.Reset()
+	m.workspaceLimit.Reset()
+	for _, u := range uses {
+		m.workspaceUse.WithLabelValues(u.Workspace, u.Resource).Set(float64(u.Use))
+		if u.Limit > 0 {
+			m.workspaceLimit.WithLabelValues(u.Workspace, u.Resource).Set(float64(u.Limit))
+		}
+	}
+}
+
 func (m *meter) countOrder(kind string, result scheduler.OrderResult) {
 	m.orders.WithLabelValues(kind, string(result)).Inc()
 }
