scheduler: hold the limit for what has waited for it

Each claim within a limit scanned the fleet again after a preemption. Change: after 1 s, the need of the first unit that waits for the limit is held for it in each pass, if it is up to half of the limit. What may be stopped for claims is listed once a pass.

--- a/internal/workload/scheduler/idlesearch_test.go
+++ b/internal/workload/scheduler/idlesearch_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"daisyhead/internal/workload/accountant"
 	"daisyhead/internal/workload/describer"
 )
 
@@ -64,6 +65,9 @@
 			return false
 		}
 	}
+	if !sim.underHalfOfLimit(job.workspace, s) {
+		return false
+	}
 	fitting, onStep := 0, 0
 	var used, room describer.Resources
 	for _, f := range sim.workers {
@@ -106,6 +110,17 @@
 	return s.Perpetual || sim.underHalf(used, room)
 }
 
+// underHalfOfLimit reports whether the workspace uses less than half of its limit, and a unit of the
+// step needs no more than the other half.
+func (sim *simulation) underHalfOfLimit(workspace string, s describer.Step) bool {
+	w, _ := sim.config.Workspace(workspace)
+	used, need := sim.runningIn(workspace), accountant.UnitNeed(s)
+	return !slices.ContainsFunc(accountant.Resources, func(r accountant.Resource) bool {
+		maximum := r.Of(w.Maximum)
+		return maximum > 0 && (2*r.Of(used) >= maximum || 2*r.Of(need) > maximum)
+	})
+}
+
 // tasksThatFit returns how many tasks fit into the free resources.
 func tasksThatFit(free, need describer.Resources) (count int) {
 	for count < 64 && free.Fits(need) {
@@ -167,6 +182,12 @@
 		}
 	}
 	sim.config.Workspaces[0].GuaranteedAccelerators = 16 * sim.rng.IntN(2)
+	if seed%2 == 1 {
+		// Half of the seeds have limits, which are random without changing the rest of the seed.
+		sim.config.Workspaces[0].Maximum.Accelerators = 8 + sim.platformRNG.IntN(60)
+		sim.config.Workspaces[1].Maximum.Accelerators = 8 + sim.platformRNG.IntN(60)
+		sim.checker.limits.replace(0, sim.config)
+	}
 	reports := sim.waitReports()
 	sim.startAll()
 	sim.run(3000)
--- a/internal/workload/scheduler/limits.go
+++ b/internal/workload/scheduler/limits.go
@@ -91,19 +91,21 @@
 	// reserved is what units of the workspace need that have a reservation, or for which other
 	// work of the workspace is being stopped.
 	reserved describer.Resources
-	// stoppable caches, for units that may preempt borrowed ones and for those that may not, what
-	// may be stopped, and stopping what is being stopped. Both hold for the plan's value of
-	// preempted.
+	// stoppable caches, for units that claim their places and for others, which units may be
+	// stopped for them. Some of these may have been stopped since.
 	stoppable map[bool][]*unit
-	stopping  describer.Resources
-	preempted int
+	// stuck is what is being stopped and should have ended by now, or has no unit. It is counted
+	// once stoppable is set.
+	stuck describer.Resources
+	// held is set once a part of the limit is held for a unit that has waited for it.
+	held bool
 }
 
 // limitView returns the view of a workspace.
 func (m *Model) limitView(p *plan, workspace string) *limitView {
 	v := p.limits[workspace]
 	if v == nil {
-		v = &limitView{limit: m.limit(workspace), preempted: -1}
+		v = &limitView{limit: m.limit(workspace)}
 		v.limited = v.limit.Limited()
 		p.limits[workspace] = v
 	}
@@ -194,13 +196,36 @@
 	return true
 }
 
+// limitHoldAfterMS is how long a unit waits for the limit of its workspace until work that ranks behind
+// it no longer takes what becomes free. With the time until that has ended, it is a part of the 3 s in
+// which the platform requires that work starts in a workspace that uses less than half of its limit.
+const limitHoldAfterMS = 1000
+
+// holdLimit holds, for the rest of the pass, what a unit needs that has waited for the limit: otherwise
+// smaller units of its workspace would start before it again and again. One unit of a workspace at a
+// time, and only one that needs up to half of the limit: for a larger one, work would have to wait in a
+// workspace that uses less than half.
+func (m *Model) holdLimit(p *plan, u *unit) {
+	u.limitWait.extend(m.now.MonoMS)
+	v := m.limitView(p, u.workspace())
+	half := v.limit
+	half.Maximum = describer.Resources{CPU: half.Maximum.CPU / 2, MemoryMB: half.Maximum.MemoryMB / 2, Accelerators: half.Maximum.Accelerators / 2}
+	half.Tolerance = 0
+	if v.held || m.now.MonoMS-u.limitWait.sinceMS < limitHoldAfterMS || !half.Admits(u.need()) {
+		return
+	}
+	v.held = true
+	m.reserveLimit(p, u)
+}
+
 // limitVictims returns the units to stop so that the limit allows the unit, beside those that are
 // stopping already. ok is false if that is not enough.
 func (m *Model) limitVictims(p *plan, v *limitView, u *unit, claims bool) (victims []*unit, ok bool) {
-	if v.preempted != p.preempted {
-		v.stoppable, v.stopping, v.preempted = map[bool][]*unit{}, m.stoppingSoon(u.workspace()), p.preempted
+	if v.stoppable == nil {
+		v.stoppable, v.stuck = map[bool][]*unit{}, m.stuckStops(u.workspace())
 	}
-	missing := v.limit.Excess(m.useBeside(v, u), u.need()).Sub(v.stopping)
+	use := m.useBeside(v, u)
+	missing := v.limit.Excess(use, u.need()).Sub(use[accountant.Stopping].Sub(v.stuck))
 	if !exceeds(missing) {
 		return nil, v.limit.Admits(u.need())
 	}
@@ -211,7 +236,7 @@
 		if !exceeds(missing) {
 			break
 		}
-		if relieves(missing, o.need()) {
+		if m.mayStopFor(p, o, claims) && relieves(missing, o.need()) {
 			victims = append(victims, o)
 			missing = missing.Sub(o.need())
 		}
@@ -237,15 +262,15 @@
 	return slices.ContainsFunc(accountant.Resources, func(r accountant.Resource) bool { return r.Of(missing) > 0 && r.Of(amount) > 0 })
 }
 
-// stoppingSoon returns what the workspace's units use that are stopping, without those that should
-// have stopped by now.
-func (m *Model) stoppingSoon(workspace string) (total describer.Resources) {
+// stuckStops returns what the workspace's runs use that are being stopped and should have ended by
+// now, or that have no unit.
+func (m *Model) stuckStops(workspace string) (total describer.Resources) {
 	if m.accounts.Of(workspace)[accountant.Stopping] == (describer.Resources{}) {
 		return total
 	}
 	for _, w := range m.fleet {
 		for _, r := range w.runs.list {
-			if r.class == accountant.Stopping && r.workspace == workspace && r.unit != nil && !m.stopOverdue(r.unit) {
+			if r.class == accountant.Stopping && r.workspace == workspace && (r.unit == nil || m.stopOverdue(r.unit)) {
 				total = total.Add(r.quota)
 			}
 		}
@@ -264,10 +289,7 @@
 				continue
 			}
 			for o := range j.units {
-				if !o.placed() || o.step.spec.MaxUnavailable > 0 && !(claims && o.spare()) {
-					continue
-				}
-				if !m.urgent(o) || claims && m.borrowed(p, o) {
+				if m.mayStopFor(p, o, claims) {
 					units = append(units, o)
 				}
 			}
@@ -278,6 +300,14 @@
 	return units
 }
 
+// mayStopFor reports whether the unit may be stopped for another one of its workspace.
+func (m *Model) mayStopFor(p *plan, u *unit, claims bool) bool {
+	if !u.placed() || u.step.spec.MaxUnavailable > 0 && !(claims && u.spare()) {
+		return false
+	}
+	return !m.urgent(u) || claims && m.borrowed(p, u)
+}
+
 // stopCost is preemptionCost for a unit.
 func (m *Model) stopCost(u *unit) float64 {
 	if m.urgent(u) {
--- a/internal/workload/scheduler/limits_test.go
+++ b/internal/workload/scheduler/limits_test.go
@@ -162,14 +162,46 @@
 			for range 14 {
 				sim.after(sim.rng.Int64N(30000), func() { sim.limitFault(500 + sim.rng.Int64N(6000)) })
 			}
+			sim.run(33000)
+			sim.checkIdleWaits()
+			limitWaits := sim.limitWaits()
 			sim.run(randomScheduleMS)
-			sim.expectNoneOf(t, exceedsLimit)
+			sim.expectNoneOf(t, func(v string) bool { return exceedsLimit(v) || limitWaits(v) })
 			sim.expectFinalStates(t)
 			sim.expectConsistentHolder(t)
 		})
 	}
 }
 
+// limitWaits returns a function that reports whether a violation is a job that could run and waits for
+// the limit of its workspace. Other waits, such as that of a unit for its own late starts, are not
+// the matter of the limits.
+func (sim *simulation) limitWaits() (judge func(violation string) bool) {
+	type wait struct {
+		job          string
+		fromMS, toMS int64
+	}
+	var waits []wait
+	before := sim.trace
+	sim.trace = func(instance string, e scheduler.EventCmd) {
+		if before != nil {
+			before(instance, e)
+		}
+		if e.Name == "StepWaits" && eventField(e, "Reason") == limitReason {
+			waits = append(waits, wait{eventField(e, "Job").(string), sim.nowMS - eventField(e, "WaitsMS").(int64), sim.nowMS})
+		}
+	}
+	return func(violation string) bool {
+		var atMS int64
+		if n, _ := fmt.Sscanf(violation, "at %d ms: step", &atMS); n == 0 || !strings.Contains(violation, "could run and has not") {
+			return false
+		}
+		return slices.ContainsFunc(waits, func(w wait) bool {
+			return strings.Contains(violation, w.job) && w.fromMS < atMS && atMS <= w.toMS+2000
+		})
+	}
+}
+
 // submitLimitedJob submits a random job that fits into every limit of the schedule.
 func (sim *simulation) submitLimitedJob(id string) {
 	step := independentTasks(1+sim.rng.IntN(16), []int{1, 2, 4}[sim.rng.IntN(3)], 500+sim.rng.Int64N(4000))
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -51,10 +51,8 @@
 	startBudget, relaxBudget int
 	// quarantined lists the workers that only their quarantine closes.
 	quarantined []int
-	// limits holds the views of the workspaces' limits. preempted counts how often units were
-	// preempted in this pass.
-	limits    map[string]*limitView
-	preempted int
+	// limits holds the views of the workspaces' limits.
+	limits map[string]*limitView
 }
 
 // reclaimableKey is the index of a worker, and whether it is for a unit that claims its place.
@@ -313,6 +311,7 @@
 			if m.claimLimit(p, nodes, c, u, shape) || u.reservation != nil {
 				continue
 			}
+			m.holdLimit(p, u)
 			return
 		}
 		var places []int
--- a/internal/workload/scheduler/reservation.go
+++ b/internal/workload/scheduler/reservation.go
@@ -143,7 +143,6 @@
 	clear(p.reclaimable)
 	p.borrowed = nil
 	p.version++
-	p.preempted++
 }
 
 // reservePlaces reserves capacity for an urgent unit that waits for the limit of its workspace: what
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -73,6 +73,8 @@
 	// heldBackSinceMS is since when the unit could be placed, but only beside other work
 	// that it has to start apart from; 0 if it is not so.
 	heldBackSinceMS int64
+	// limitWait is the time in which the unit waits for the limit of its workspace.
+	limitWait period
 }
 
 // setState changes the state and updates the step's count of waiting units.
