scheduler: wider checks of limits, and a gang that is not overtaken

Cause: the schedules of TestLimitsHold had no lost appends, suspended holders or replaced workers, and the hold of a limit was not guarded. Change: these faults, the check for idle waits after the last fault, and a test with a stream of small tasks before a gang.

--- a/internal/workload/scheduler/limits_test.go
+++ b/internal/workload/scheduler/limits_test.go
@@ -111,11 +111,11 @@
 func exceedsLimit(violation string) bool { return strings.Contains(violation, "exceeds the limit") }
 
 // limitFault injects one of the faults under which the limits have to hold: the loss of the
-// holder, late starts, lost answers, workers out of reach, and new limits.
+// holder, late starts, lost answers, workers out of reach or replaced, and new limits.
 func (sim *simulation) limitFault(span int64) {
 	f := sim.workers[sim.workerIDs[sim.rng.IntN(len(sim.workerIDs))]]
 	h := sim.holder()
-	switch sim.rng.IntN(8) {
+	switch sim.rng.IntN(12) {
 	case 0, 1:
 		if h != nil {
 			h.kill()
@@ -135,6 +135,18 @@
 			h.ledgerUnreachable = true
 			sim.after(span, func() { h.ledgerUnreachable = false })
 		}
+	case 6:
+		sim.lostAnswerRate = 0.4
+		sim.after(span, func() { sim.lostAnswerRate = 0 })
+	case 7:
+		if h != nil && !h.frozen {
+			h.suspend(span)
+		}
+	case 8:
+		if !f.replaced {
+			f.returnsAsAnother = true
+			f.crash(span / 2)
+		}
 	default:
 		sim.setMaximum([]string{"a", "b"}[sim.rng.IntN(2)], 16+8*sim.rng.IntN(4))
 	}
@@ -162,7 +174,8 @@
 			for range 14 {
 				sim.after(sim.rng.Int64N(30000), func() { sim.limitFault(500 + sim.rng.Int64N(6000)) })
 			}
-			sim.run(33000)
+			// The last fault ends at 39.5 s, and a change of the holder may follow.
+			sim.run(42000)
 			sim.checkIdleWaits()
 			limitWaits := sim.limitWaits()
 			sim.run(randomScheduleMS)
@@ -326,6 +339,23 @@
 	sim.expectNoViolations(t)
 }
 
+// TestGangAtLimitIsNotOvertaken guards against a gang that waits for as long as smaller units of its
+// workspace keep coming, and against other workspaces that wait with it.
+func TestGangAtLimitIsNotOvertaken(t *testing.T) {
+	sim := newLimitedFleet(t)
+	for n := range 150 {
+		sim.after(int64(100*n), func() { sim.submit("batch", "a", fmt.Sprintf("aa%014x", n), independentTasks(2, 1, 2000)) })
+	}
+	sim.after(5000, func() { sim.submit("batch", "a", jobA, gangStep(2, 8, 2000)) })
+	sim.after(6500, func() { sim.submit("batch", "b", jobB, independentTasks(16, 1, 2000)) })
+	sim.run(60000)
+	// 1 s until the limit is held, and 2 s until running tasks have ended.
+	sim.expectStartedWithin(t, jobA, 3500)
+	sim.expectStartedWithin(t, jobB, 300)
+	sim.checkJobStates(t, bothCompleted())
+	sim.expectNoViolations(t)
+}
+
 // TestClaimWithinLimit guards against urgent work within its guarantee that has to wait because other
 // work of its workspace uses up the limit, and against more preemption than that needs.
 func TestClaimWithinLimit(t *testing.T) {
