scheduler: nothing is stopped or held for units that no worker can take

Cause: an urgent unit within its guarantee that needs a label which no worker has had work of its workspace stopped again and again once the limit was used up (528 units in 16 s). Change: claims and holds of a limit need a unit that fits into the empty fleet. Result: TestImpossibleClaimAtLimit passes, and fails without the check.

--- a/internal/workload/scheduler/limits.go
+++ b/internal/workload/scheduler/limits.go
@@ -97,6 +97,8 @@
 	// stuck is what is being stopped and should have ended by now, or has no unit. It is counted
 	// once stoppable is set.
 	stuck describer.Resources
+	// placeable caches which steps fit into the fleet; see fitsOpenFleet.
+	placeable map[*step]bool
 	// held is set once a part of the limit is held for a unit that has waited for it.
 	held bool
 }
@@ -169,13 +171,17 @@
 }
 
 // claimLimit makes room in the limit of its workspace for an urgent unit within its guarantee, and
-// reserves what the unit needs. It does nothing for other units, and if stopping other work of the
-// workspace can't make the unit fit. A limit below the guarantee takes precedence.
+// reserves what the unit needs. It does nothing for other units, for one that no worker could take,
+// and if stopping other work of the workspace can't make the unit fit. A limit below the guarantee takes
+// precedence.
 func (m *Model) claimLimit(p *plan, nodes []packer.Node, c candidate, u *unit, shape requestShape) (claimed bool) {
 	if !shape.urgent || p.split == nil || !p.split.claiming[u] {
 		return false
 	}
 	v := m.limitView(p, u.workspace())
+	if u.reservation == nil && !v.fitsOpenFleet(nodes, u.step, shape.request) {
+		return false
+	}
 	victims, ok := m.limitVictims(p, v, u, shape.claims)
 	if !ok {
 		return false
@@ -204,20 +210,38 @@
 // holdLimit holds, for the rest of the pass, what a unit needs that has waited for the limit: otherwise
 // smaller units of its workspace would start before it again and again. One unit of a workspace at a
 // time, and only one that needs up to half of the limit: for a larger one, work would have to wait in a
-// workspace that uses less than half.
-func (m *Model) holdLimit(p *plan, u *unit) {
+// workspace that uses less than half. A unit that no worker could take holds nothing.
+func (m *Model) holdLimit(p *plan, nodes []packer.Node, u *unit, r packer.Request) {
 	u.limitWait.extend(m.now.MonoMS)
 	v := m.limitView(p, u.workspace())
 	half := v.limit
 	half.Maximum = describer.Resources{CPU: half.Maximum.CPU / 2, MemoryMB: half.Maximum.MemoryMB / 2, Accelerators: half.Maximum.Accelerators / 2}
 	half.Tolerance = 0
-	if v.held || m.now.MonoMS-u.limitWait.sinceMS < limitHoldAfterMS || !half.Admits(u.need()) {
+	if v.held || m.now.MonoMS-u.limitWait.sinceMS < limitHoldAfterMS || !half.Admits(u.need()) || !v.fitsOpenFleet(nodes, u.step, r) {
 		return
 	}
 	v.held = true
 	m.reserveLimit(p, u)
 }
 
+// fitsOpenFleet reports whether a unit of the step would fit if the workers that get new tasks were
+// empty.
+func (v *limitView) fitsOpenFleet(nodes []packer.Node, s *step, r packer.Request) bool {
+	fits, cached := v.placeable[s]
+	if !cached {
+		empty := slices.Clone(nodes)
+		for i := range empty {
+			empty[i].Free, empty[i].StepTasks = empty[i].Room, 0
+		}
+		_, fits = packer.Place(empty, r)
+		if v.placeable == nil {
+			v.placeable = map[*step]bool{}
+		}
+		v.placeable[s] = fits
+	}
+	return fits
+}
+
 // limitVictims returns the units to stop so that the limit allows the unit, beside those that are
 // stopping already. ok is false if that is not enough.
 func (m *Model) limitVictims(p *plan, v *limitView, u *unit, claims bool) (victims []*unit, ok bool) {
--- a/internal/workload/scheduler/limits_test.go
+++ b/internal/workload/scheduler/limits_test.go
@@ -387,6 +387,27 @@
 	}
 }
 
+// TestImpossibleClaimAtLimit guards against work that is stopped, or kept from its workspace's limit, for
+// units that no worker can take.
+func TestImpossibleClaimAtLimit(t *testing.T) {
+	sim := newLimitedFleet(t)
+	stopped := sim.countReasons("UnitPreempted", "")
+	sim.submit("batch", "a", jobA, independentTasks(60, 1, 10000))
+	sim.run(4000)
+	impossible := gangStep(2, 8, 60000)
+	impossible.RequireLabel = "none"
+	sim.submit("urgent", "a", "cc00000000000001", impossible)
+	sim.submit("render", "a", "dd00000000000001", impossible)
+	sim.run(20000)
+	if used := sim.runningIn("a").Accelerators; used != 28 {
+		t.Errorf("workspace a has %d accelerators running, want the last 28 tasks", used)
+	}
+	if *stopped > 0 {
+		t.Errorf("%d units were preempted", *stopped)
+	}
+	sim.expectNoViolations(t)
+}
+
 // TestLimitBelowGuarantee guards against claims that exceed a limit below the guarantee, and against
 // work that is stopped for them in vain.
 func TestLimitBelowGuarantee(t *testing.T) {
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -311,7 +311,7 @@
 			if m.claimLimit(p, nodes, c, u, shape) || u.reservation != nil {
 				continue
 			}
-			m.holdLimit(p, u)
+			m.holdLimit(p, nodes, u, r)
 			return
 		}
 		var places []int
