describer: look workspaces up by name; scheduler: fix a fault of a test

Cause: each pass looked up the workspace of each candidate by a scan of all workspaces. Change: an index by name.

--- a/internal/workload/describer/configuration.go
+++ b/internal/workload/describer/configuration.go
@@ -17,12 +17,13 @@
 	queuesByHost   map[string][]int
 	workspaceByKey map[string]int
 	queueByName    map[string]int
+	workspaceNamed map[string]int
 }
 
-// BuildIndex builds the lookup tables. It must be called before Route, Queue
-// and WorkspaceByKey.
+// BuildIndex builds the lookup tables. It must be called before Route, Queue,
+// Workspace and WorkspaceByKey.
 func (c *Configuration) BuildIndex() {
-	c.queuesByHost, c.workspaceByKey, c.queueByName = map[string][]int{}, map[string]int{}, map[string]int{}
+	c.queuesByHost, c.workspaceByKey, c.queueByName, c.workspaceNamed = map[string][]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	for i, q := range c.Queues {
 		c.queuesByHost[q.Host] = append(c.queuesByHost[q.Host], i)
 		c.queueByName[q.Name] = i
@@ -33,6 +34,7 @@
 		})
 	}
 	for i, w := range c.Workspaces {
+		c.workspaceNamed[w.Name] = i
 		for _, key := range w.Keys {
 			c.workspaceByKey[key] = i
 		}
@@ -69,12 +71,11 @@
 
 // Workspace returns the workspace with the given name.
 func (c *Configuration) Workspace(name string) (Workspace, bool) {
-	for _, w := range c.Workspaces {
-		if w.Name == name {
-			return w, true
-		}
+	i, ok := c.workspaceNamed[name]
+	if !ok {
+		return Workspace{}, false
 	}
-	return Workspace{}, false
+	return c.Workspaces[i], true
 }
 
 // Guaranteed returns the number of accelerators that a workspace is guaranteed,
--- a/internal/workload/scheduler/limits_test.go
+++ b/internal/workload/scheduler/limits_test.go
@@ -119,6 +119,8 @@
 	case 0, 1:
 		if h != nil {
 			h.kill()
+			// The next process is not suspended, even if this one was.
+			h.frozen = false
 			sim.after(500, h.start)
 		}
 	case 2:
