scheduler: order waiting work by what callers lose while capacity is short

Within one priority, passes took the job with the least slack first. When the capacity of a service does not suffice, this makes most jobs late.

A pass now hands the candidates of each service in which not all waiting work fits to the sequencer. Priorities and claims keep their precedence (ranker.Precedence). Workspaces above their share of their dominant resource wait behind the others. The critical path is corrected by the median ratio of actual to estimated times of the queue's last 64 steps, which each holder learns anew. JobDelayed logs each delayed job once, and StepWaits names position, class and what is before the step.

--- a/internal/workload/describer/job.go
+++ b/internal/workload/describer/job.go
@@ -208,6 +208,9 @@
 	// GuaranteedAccelerators is how many accelerators the workspace's jobs of
 	// priority 0 can always use.
 	GuaranteedAccelerators int
+	// Weight is the workspace's share, relative to the others, when all capacity is in use;
+	// 0 counts as 1.
+	Weight float64
 }
 
 // Worker is a machine that runs tasks, from when the platform lists it until the
--- a/internal/workload/ranker/ranker.go
+++ b/internal/workload/ranker/ranker.go
@@ -25,6 +25,8 @@
 	NowMS       int64 // Unix milliseconds
 	// Claims is set if the job's workspace is guaranteed the capacity.
 	Claims bool
+	// Correction is the factor by which the estimates are multiplied; 0 counts as 1.
+	Correction float64
 }
 
 // Key is the sort key of a job; see Compare.
@@ -37,6 +39,8 @@
 	// LatestStartMS is the latest start, in Unix milliseconds, that still lets the
 	// job end within its objective.
 	LatestStartMS int64
+	// LastUsefulStartMS is the latest start that still lets the job earn any credit.
+	LastUsefulStartMS int64
 }
 
 // expiryFactor times the objective is the time after which a job that ends
@@ -46,12 +50,17 @@
 // Rank returns the sort key of a job.
 func Rank(in Input) Key {
 	criticalPathMS := CriticalPathMS(in.Steps)
+	if in.Correction > 0 {
+		criticalPathMS = int64(in.Correction * float64(criticalPathMS))
+	}
 	objectiveMS := int64(in.Stretch*float64(criticalPathMS)) + in.ObjectiveMS
+	lastUsefulStartMS := in.AcceptedMS + expiryFactor*objectiveMS - criticalPathMS
 	return Key{
-		Priority:      in.Priority,
-		Claims:        in.Claims,
-		Expired:       in.NowMS+criticalPathMS > in.AcceptedMS+expiryFactor*objectiveMS,
-		LatestStartMS: in.AcceptedMS + objectiveMS - criticalPathMS,
+		Priority:          in.Priority,
+		Claims:            in.Claims,
+		Expired:           in.NowMS > lastUsefulStartMS,
+		LatestStartMS:     in.AcceptedMS + objectiveMS - criticalPathMS,
+		LastUsefulStartMS: lastUsefulStartMS,
 	}
 }
 
@@ -81,13 +90,20 @@
 // orders by latest start.
 func Compare(a, b Key) int {
 	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		compareBool(b.Claims, a.Claims),
+		Precedence(a, b),
 		compareBool(a.Expired, b.Expired),
 		cmp.Compare(a.LatestStartMS, b.LatestStartMS),
 	)
 }
 
+// Precedence compares what takes precedence over any order by time or work.
+func Precedence(a, b Key) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		compareBool(b.Claims, a.Claims),
+	)
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -31,6 +31,11 @@
 	steps []*step
 	// unfinishedSteps counts the steps that are not done.
 	unfinishedSteps int
+	// place is the occurrence's place in the last pass, the zero value if capacity was not short.
+	place queuePlace
+	// delayed is set once it was counted as delayed, aged once it had waited for so long that
+	// it went before others.
+	delayed, aged bool
 }
 
 // step is a step of the job in one occurrence, divided into units.
@@ -125,6 +130,7 @@
 	}
 	m.jobs[j.id] = j
 	m.liveJobs = append(m.liveJobs, j)
+	m.noteWork(j)
 	for _, id := range sortedUnits(units) {
 		m.adoptUnit(j, id, units[id])
 	}
@@ -202,6 +208,7 @@
 		return
 	}
 	m.speeds.Add(s.durations)
+	m.learnEstimate(s)
 	s.durations = nil
 	s.occurrence.unfinishedSteps--
 	m.endIfComplete(s.job)
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -213,6 +213,8 @@
 	workers map[string]*worker
 	// speeds compares the workers' speeds. It outlives a term.
 	speeds calibrator.Calibrator
+	// sequencing decides the order of waiting work when capacity is short.
+	sequencing sequencing
 	// speedsRecordedMS is when this holder last compared the speeds with their record.
 	speedsRecordedMS int64
 	// lateStarts are runs that were removed while their starts could still reach the
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -116,10 +116,12 @@
 	m.passNeeded, m.lastPassMS = false, m.now.MonoMS
 	found, split := m.candidates()
 	if len(found) == 0 {
+		m.sequencing.backlogs = nil
 		return
 	}
 	m.emit(PassedCmd{})
 	p := m.newPlan()
+	m.sequence(found, p)
 	p.split = split
 	for _, c := range found {
 		if p.startBudget <= 0 {
@@ -169,6 +171,7 @@
 	return ranker.Rank(ranker.Input{
 		Priority: q.Priority, Steps: j.submission.Job.Steps, Stretch: q.Stretch, ObjectiveMS: q.ObjectiveMS,
 		AcceptedMS: max(j.submission.AcceptedMS, s.occurrence.dueMS), NowMS: m.now.WallMS, Claims: q.Priority == 0 && split != nil && split.claiming[s.firstWaiting()],
+		Correction: m.sequencing.estimates.Factor(q.Name),
 	})
 }
 
--- /dev/null
+++ b/internal/workload/scheduler/sequence_test.go
@@ -0,0 +1,47 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestOverloadDelaysLargeJobs guards against an order that makes most jobs late because the
+// capacity does not suffice for a few of them.
+func TestOverloadDelaysLargeJobs(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addWorkers(2, 4)
+	sim.startAll()
+	sim.run(3000)
+	var small []string
+	for n := range 120 {
+		id := fmt.Sprintf("5a%014x", n)
+		small = append(small, id)
+		sim.after(int64(n)*150, func() { sim.submit("render", "a", id, independentTasks(4, 1, 1500)) })
+		if n%15 == 0 {
+			sim.after(int64(n)*150, func() {
+				sim.submit("render", "a", fmt.Sprintf("1a%014x", n), independentTasks(96, 1, 4000))
+			})
+		}
+	}
+	sim.run(60_000)
+	inTime := 0
+	for _, id := range small {
+		job := sim.checker.jobs[id]
+		if end := sim.endOf(id); end > 0 && end <= job.submittedMS+3*1500+1000 {
+			inTime++
+		}
+	}
+	if inTime < 100 {
+		t.Errorf("%d of %d small jobs ended in time, want at least 100", inTime, len(small))
+	}
+	sim.expectNoViolations(t)
+}
+
+// endOf returns when the job was completed, or 0.
+func (sim *simulation) endOf(id string) int64 {
+	t, ok := sim.holder().model.Table.Lookup(id)
+	if !ok || t.Outcome == nil {
+		return 0
+	}
+	return t.Outcome.AtMS - wallStartMS
+}
--- a/internal/workload/scheduler/waits.go
+++ b/internal/workload/scheduler/waits.go
@@ -118,6 +118,9 @@
 		if len(w.lateStarts) > 0 {
 			fields = append(fields, "LateStarts", w.lateStarts)
 		}
+		if place := s.occurrence.place; place.before != "" {
+			fields = append(fields, "Position", place.position, "After", place.before, "AheadMS", place.aheadMS, "Class", place.class.String())
+		}
 		m.event("StepWaits", fields...)
 	}
 }
--- a/internal/workload/sequencer/sequencer.go
+++ b/internal/workload/sequencer/sequencer.go
@@ -81,6 +81,8 @@
 	Class Class
 	// Delayed is set if the job could end in time by itself, but not together with others.
 	Delayed bool
+	// OverShare is set if the job waits behind others because of its workspace's share.
+	OverShare bool
 	// Ahead is the work that starts before the job.
 	Ahead float64
 }
@@ -246,6 +248,7 @@
 			}
 			for _, i := range kept {
 				s.add(i, c, s.class(i) < c)
+				s.places[len(s.places)-1].OverShare = s.items[i].OverShare
 			}
 			rest = append(rest, removed...)
 		}
--- a/internal/workload/sequencer/sequencer_test.go
+++ b/internal/workload/sequencer/sequencer_test.go
@@ -201,3 +201,17 @@
 		}
 	}
 }
+
+// TestRefusedCallersReturnApart guards against callers that are refused together and return
+// together.
+func TestRefusedCallersReturnApart(t *testing.T) {
+	var r sequencer.Returns
+	var got []int64
+	for range 4 {
+		got = append(got, r.After("q", 10_000, 2500, 100))
+	}
+	got = append(got, r.After("other", 10_000, -5000, 100), r.After("q", 10_000, 2500, 90_000), r.After("q", 20_000, 0, 1000))
+	if diff := cmp.Diff([]int64{2500, 2750, 3000, 3250, 1000, 30_000, 21_000}, got); diff != "" {
+		t.Errorf("returns in ms (-want +got):\n%s", diff)
+	}
+}
