scheduler: refuse jobs that can't end before they are worthless

Under overload, jobs were accepted that had lost all value before their turn, and callers were told to return after 1 s or not at all.

The refusal reaches the caller from any instance without another attempt; an instance that can't reach the holder accepts as before. Two counters tell of delayed and refused jobs.

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -142,7 +142,7 @@
 			version = cfg.Version
 		}
 		a.Reporter.Event("CallRefused", "Job", c.Path[strings.LastIndexByte(c.Path, '/')+1:], "Kind", c.Kind, "Verdict", answer.Verdict,
-			"Reason", answer.Reason, "Forwarded", c.Forwarded, "TookMS", time.Since(began).Milliseconds(), "WithinMS", c.WithinMS, "ConfigVersion", version, "ConfigAgeMS", time.Since(asOf).Milliseconds())
+			"Reason", answer.Reason, "Forwarded", c.Forwarded, "RetryAfterMS", answer.RetryAfterMS, "TookMS", time.Since(began).Milliseconds(), "WithinMS", c.WithinMS, "ConfigVersion", version, "ConfigAgeMS", time.Since(asOf).Milliseconds())
 	}
 	return answer
 }
@@ -344,6 +344,10 @@
 		if lastErr == nil {
 			return Answer{Verdict: success}
 		}
+		var refused *Refusal
+		if errors.As(lastErr, &refused) && !mayBeWritten {
+			return Answer{Verdict: NotRun, RetryAfterMS: refused.RetryAfterMS, Reason: refused.Reason, Overloaded: true}
+		}
 		mayBeWritten = mayBeWritten || !errors.Is(lastErr, follower.ErrNotWritten)
 		if !c.Forwarded {
 			if answer, ok := a.Peers.Forward(ctx, c, forwardTries); ok && (answer.Verdict == success || !mayBeWritten) {
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -201,6 +201,22 @@
 	return all
 }
 
+// TestHolderRefusesJob guards against a refusal by the holder that is answered without its
+// reason and Retry-After, sent on to peers, or given although an earlier attempt may have
+// written the job.
+func TestHolderRefusesJob(t *testing.T) {
+	refused := errors.Wrap(&acceptor.Refusal{Reason: "too late", RetryAfterMS: 7000}, "the holder")
+	want := acceptor.Answer{Verdict: acceptor.NotRun, Reason: "too late", RetryAfterMS: 7000, Overloaded: true}
+	d := &fakeDependencies{appendErrors: []error{refused}}
+	if diff := cmp.Diff(want, d.acceptor().Answer(context.Background(), call(acceptor.KindSubmit, "/p/"+id, "key"))); diff != "" || len(d.forwarded) > 0 {
+		t.Errorf("%d forwards; answer (-want +got):\n%s", len(d.forwarded), diff)
+	}
+	d = &fakeDependencies{appendErrors: append([]error{errors.New("no answer")}, repeat(100, refused)...)}
+	if a := d.acceptor().Answer(context.Background(), call(acceptor.KindSubmit, "/p/"+id, "key")); a.Verdict != acceptor.OutcomeUnknown {
+		t.Errorf("answer %+v after an attempt without an answer, want OutcomeUnknown", a)
+	}
+}
+
 // TestForwardedCallIsNotForwardedAgain guards against instances forwarding a call to each
 // other in a loop.
 func TestForwardedCallIsNotForwardedAgain(t *testing.T) {
--- a/internal/workload/acceptor/calls.go
+++ b/internal/workload/acceptor/calls.go
@@ -76,6 +76,9 @@
 	// RetryAfterMS is how long the caller should wait before it retries, for NotRun.
 	RetryAfterMS int64  `cbor:",omitempty"`
 	Reason       string `cbor:",omitempty"`
+	// Overloaded is set with NotRun if the holder has refused the job for lack of capacity.
+	// Another instance would only ask the same holder.
+	Overloaded bool `cbor:",omitempty"`
 	// ConfigVersion is the version of the configuration that the answer is based on, 0 if none
 	// was used.
 	ConfigVersion uint64 `cbor:",omitempty"`
--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -22,6 +22,10 @@
 	ordersInFlight, ordersLimit      prometheus.Gauge
 	ordersQueued, ordersQueueAge     *prometheus.GaugeVec
 	ordersDroppedUnsent, passesPaced prometheus.Gauge
+
+	// Counters of the order under scarcity.
+	jobsDelayed, jobsRefused *prometheus.CounterVec
+	queueStats               scheduler.QueueStats
 }
 
 func newMeter() *meter {
@@ -52,7 +56,13 @@
 		ordersDroppedUnsent: newGauge("daisyhead_orders_dropped_unsent", "Orders dropped since the start because they were no longer wanted when their turn came."),
 		passesPaced:         newGauge("daisyhead_passes_paced", "Scheduling passes since the start that were ended early because of queued starts."),
 	}
-	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
+	m.jobsDelayed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "daisyhead_jobs_delayed_total", Help: "Jobs that this instance, as the holder, has put behind others for lack of capacity, by reason.",
+	}, []string{"reason"})
+	m.jobsRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "daisyhead_jobs_refused_total", Help: "Jobs that this instance, as the holder, has refused for lack of capacity, by reason.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.jobsDelayed, m.jobsRefused, m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
 		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced)
 	return m
 }
@@ -73,6 +83,17 @@
 	}
 }
 
+// setQueueStats advances the counters of the order under scarcity to those of the model.
+func (m *meter) setQueueStats(s scheduler.QueueStats) {
+	for reason, n := range s.Delayed {
+		m.jobsDelayed.WithLabelValues(reason).Add(float64(n - m.queueStats.Delayed[reason]))
+	}
+	for reason, n := range s.Refused {
+		m.jobsRefused.WithLabelValues(reason).Add(float64(n - m.queueStats.Refused[reason]))
+	}
+	m.queueStats = s
+}
+
 func (m *meter) countOrder(kind string, result scheduler.OrderResult) {
 	m.orders.WithLabelValues(kind, string(result)).Inc()
 }
--- a/internal/workload/assembler/storer.go
+++ b/internal/workload/assembler/storer.go
@@ -36,13 +36,14 @@
 
 	mu            sync.Mutex
 	lastRequestID uint64
-	waiting       map[uint64]chan scheduler.StoreResult
+	waiting       map[uint64]chan scheduler.StoredCmd
 }
 
 // Append implements acceptor.Ledger.
 func (s *storer) Append(ctx context.Context, r reducer.Record) error {
 	err := s.storeThroughHolder(ctx, r)
-	if err == nil || ctx.Err() != nil {
+	var refused *acceptor.Refusal
+	if err == nil || ctx.Err() != nil || errors.As(err, &refused) {
 		return err
 	}
 	if directErr := s.instance.writer.Append(ctx, r); directErr != nil {
@@ -88,7 +89,8 @@
 }
 
 // tryHolder sends the record to the holder, which may be this instance, once. The error is
-// errNotHolder if the holder is unknown, has changed, or is a peer that has written nothing.
+// errNotHolder if the holder is unknown, has changed, or is a peer that has written nothing,
+// and an acceptor.Refusal if the holder has refused the record for lack of capacity.
 func (s *storer) tryHolder(ctx context.Context, r reducer.Record) error {
 	if s.instance.status.holdsTerm.Load() {
 		return s.Store(ctx, r)
@@ -98,6 +100,10 @@
 		return errNotHolder
 	}
 	err := s.instance.deps.Peers.Store(ctx, address, r)
+	var refused *acceptor.Refusal
+	if errors.As(err, &refused) {
+		return err
+	}
 	if errors.Is(err, follower.ErrNotWritten) {
 		return errors.Mark(err, errNotHolder)
 	}
@@ -134,27 +140,29 @@
 	return s.instance.loop.Send(scheduler.OutcomesMsg{Outcomes: outcomes})
 }
 
-func storeError(r scheduler.StoreResult) error {
-	switch r {
+func storeError(c scheduler.StoredCmd) error {
+	switch c.Result {
 	case scheduler.StoreDone:
 		return nil
 	case scheduler.StoreNotHolder:
 		return errNotHolder
 	case scheduler.StoreInvalid:
 		return errUnreadable
+	case scheduler.StoreRefused:
+		return &acceptor.Refusal{Reason: c.Reason, RetryAfterMS: c.RetryAfterMS}
 	}
 	return errors.New("the term was lost while the record was written")
 }
 
 // addWaiter returns a new request ID and the channel to which deliver passes its result.
-func (s *storer) addWaiter() (requestID uint64, results chan scheduler.StoreResult) {
+func (s *storer) addWaiter() (requestID uint64, results chan scheduler.StoredCmd) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.waiting == nil {
-		s.waiting = map[uint64]chan scheduler.StoreResult{}
+		s.waiting = map[uint64]chan scheduler.StoredCmd{}
 	}
 	s.lastRequestID++
-	results = make(chan scheduler.StoreResult, 1)
+	results = make(chan scheduler.StoredCmd, 1)
 	s.waiting[s.lastRequestID] = results
 	return s.lastRequestID, results
 }
@@ -165,12 +173,12 @@
 	delete(s.waiting, requestID)
 }
 
-// deliver passes the result in a StoredCmd to the goroutine that waits for it.
+// deliver passes a StoredCmd to the goroutine that waits for it.
 func (s *storer) deliver(c scheduler.StoredCmd) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if results, ok := s.waiting[c.RequestID]; ok {
-		results <- c.Result
+		results <- c
 		delete(s.waiting, c.RequestID)
 	}
 }
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -101,14 +101,14 @@
 }
 
 // Forward sends a call to up to tries peers in random order, until one has answered it. Peers
-// that answer NotRun are skipped. If a peer may have received a submission or a cancellation
+// that answer NotRun are skipped, unless the holder has refused the job. If a peer may have received a submission or a cancellation
 // but did not answer, the result is OutcomeUnknown.
 func (f *Forwarder) Forward(ctx context.Context, c acceptor.Call, tries int) (a acceptor.Answer, ok bool) {
 	c.Forwarded = true
 	for _, address := range f.pickPeers(tries) {
 		answer, sent, err := f.forwardTo(ctx, address, c)
 		switch {
-		case err == nil && answer.Verdict != acceptor.NotRun:
+		case err == nil && (answer.Verdict != acceptor.NotRun || answer.Overloaded):
 			return answer, true
 		case err != nil && sent && c.Kind != acceptor.KindState:
 			return acceptor.Answer{Verdict: acceptor.OutcomeUnknown, Reason: "a peer has not answered"}, true
@@ -147,10 +147,13 @@
 	// Doubt is set if the record may have been written although Written is false.
 	Doubt  bool   `cbor:",omitempty"`
 	Reason string `cbor:",omitempty"`
+	// RetryAfterMS is set if the holder has refused the record for lack of capacity.
+	RetryAfterMS int64 `cbor:",omitempty"`
 }
 
 // Store asks the instance at an address to write a record. After an error other than
-// follower.ErrNotWritten it is unknown whether the record was written.
+// follower.ErrNotWritten it is unknown whether the record was written. The error is an
+// acceptor.Refusal if the holder has refused the record for lack of capacity.
 func (f *Forwarder) Store(ctx context.Context, address string, r reducer.Record) error {
 	var reply storeReply
 	sent, err := f.post(ctx, address, recordsPath, r, &reply)
@@ -161,6 +164,8 @@
 		return errors.Wrapf(err, "peer %s", address)
 	case reply.Written:
 		return nil
+	case reply.RetryAfterMS > 0:
+		return &acceptor.Refusal{Reason: reply.Reason, RetryAfterMS: reply.RetryAfterMS}
 	case reply.Doubt:
 		return errors.Newf("peer %s: %s", address, reply.Reason)
 	}
@@ -291,6 +296,10 @@
 	if err == nil {
 		return storeReply{Written: true}
 	}
+	var refused *acceptor.Refusal
+	if errors.As(err, &refused) {
+		return storeReply{Reason: refused.Reason, RetryAfterMS: refused.RetryAfterMS}
+	}
 	return storeReply{Doubt: !errors.Is(err, follower.ErrNotWritten), Reason: err.Error()}
 }
 
--- a/internal/workload/forwarder/forwarder_test.go
+++ b/internal/workload/forwarder/forwarder_test.go
@@ -15,7 +15,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"daisyhead/internal/workload/acceptor"
+	"daisyhead/internal/workload/follower"
 	"daisyhead/internal/workload/forwarder"
+	"daisyhead/internal/workload/reducer"
 )
 
 // fakeTransport answers for some addresses; the others are unreachable.
@@ -83,3 +85,32 @@
 		t.Errorf("process %q at an address where nothing listens, want an error", got)
 	}
 }
+
+// refusingStorer refuses every record.
+type refusingStorer struct{ forwarder.Storer }
+
+func (refusingStorer) Store(context.Context, reducer.Record) error {
+	return &acceptor.Refusal{Reason: "too late", RetryAfterMS: 7000}
+}
+
+// TestRefusalReachesAskingInstance guards against a refusal by the holder that arrives as another
+// error, after which the asking instance would write the record itself or ask more peers.
+func TestRefusalReachesAskingInstance(t *testing.T) {
+	s := httptest.NewServer(forwarder.Handler(nil, refusingStorer{}))
+	defer s.Close()
+	err := forwarder.New(s.Client()).Store(context.Background(), s.Listener.Addr().String(), reducer.Record{Key: "k"})
+	var got *acceptor.Refusal
+	if !errors.As(err, &got) || !errors.Is(err, follower.ErrNotWritten) {
+		t.Fatalf("error %v, want a refusal", err)
+	}
+	if diff := cmp.Diff(&acceptor.Refusal{Reason: "too late", RetryAfterMS: 7000}, got); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+	refusal := acceptor.Answer{Verdict: acceptor.NotRun, RetryAfterMS: 7000, Overloaded: true}
+	transport := &fakeTransport{answers: map[string]acceptor.Answer{"a": refusal}, asked: map[string]int{}}
+	f := forwarder.New(&http.Client{Transport: transport})
+	f.SetPeers([]string{"a"})
+	if a, ok := f.Forward(context.Background(), acceptor.Call{Kind: acceptor.KindSubmit, Path: "/p/x"}, 1); !ok || a != refusal {
+		t.Errorf("Forward returned %+v, %t, want the refusal", a, ok)
+	}
+}
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -123,6 +123,9 @@
 	StoreNotHolder StoreResult = "NotHolder"
 	// StoreInvalid means that nothing was written, because the record can't be decoded.
 	StoreInvalid StoreResult = "Invalid"
+	// StoreRefused means that nothing was written, because there is no capacity for the job in
+	// time.
+	StoreRefused StoreResult = "Refused"
 	// StoreUnknown means that the record may or may not have been written.
 	StoreUnknown StoreResult = "Unknown"
 )
@@ -131,6 +134,9 @@
 type StoredCmd struct {
 	RequestID uint64
 	Result    StoreResult
+	// Reason and RetryAfterMS are set with StoreRefused.
+	Reason       string
+	RetryAfterMS int64
 }
 
 // EventCmd logs a decision or a change of the model's state. Fields holds alternating
--- a/internal/workload/scheduler/store.go
+++ b/internal/workload/scheduler/store.go
@@ -14,7 +14,8 @@
 		m.emit(StoredCmd{RequestID: msg.RequestID, Result: StoreNotHolder})
 		return
 	}
-	if _, ok := reducer.DecodeSubmission(msg.Record); !ok && reducer.IsSubmission(msg.Record) {
+	sub, isSubmission := reducer.DecodeSubmission(msg.Record)
+	if !isSubmission && reducer.IsSubmission(msg.Record) {
 		m.event("RecordUnreadable", "Key", msg.Record.Key)
 		m.emit(StoredCmd{RequestID: msg.RequestID, Result: StoreInvalid})
 		return
@@ -23,6 +24,12 @@
 		m.emit(StoredCmd{RequestID: msg.RequestID, Result: StoreDone})
 		return
 	}
+	if isSubmission {
+		if r, refuse := m.refuses(sub); refuse {
+			m.emit(StoredCmd{RequestID: msg.RequestID, Result: StoreRefused, Reason: r.reason, RetryAfterMS: r.retryAfterMS})
+			return
+		}
+	}
 	m.pendingStores[msg.RequestID] = true
 	m.propose(msg.Record, func(m *Model) {
 		delete(m.pendingStores, msg.RequestID)
