scheduler: count what is done of a job in the order under scarcity

The last start with which a job ends in time was computed from its whole critical path, also when most of it was done. Under overload, the short last step of a job waited as if the job were late.

The latest starts are later by the part of the critical path that is done.

--- a/internal/workload/scheduler/sequence.go
+++ b/internal/workload/scheduler/sequence.go
@@ -214,6 +214,8 @@
 			g := b.groups[len(b.groups)-1]
 			j := mb.occurrence.job()
 			item := m.itemOf(b, demands[mb.occurrence], mb.key, mb.occurrence.acceptedMS(), m.valueOf(j.submission.Job, j.submission.Queue.Name))
+			doneMS := mb.occurrence.donePathMS(m.sequencing.estimates.Factor(j.submission.Queue.Name))
+			item.LatestStartMS, item.LastUsefulStartMS = item.LatestStartMS+doneMS, item.LastUsefulStartMS+doneMS
 			item.OverShare = b.over[j.submission.Job.Workspace]
 			g.occurrences, g.items = append(g.occurrences, mb.occurrence), append(g.items, item)
 		}
@@ -226,15 +228,19 @@
 // other services where they are.
 func reorder(found []candidate, service string) {
 	var indexes []int
-	var own []candidate
 	for i, c := range found {
 		if c.queue.Service == service {
-			indexes, own = append(indexes, i), append(own, c)
+			indexes = append(indexes, i)
 		}
 	}
-	slices.SortStableFunc(own, func(a, b candidate) int {
-		return cmp.Or(ranker.Precedence(a.key, b.key), cmp.Compare(a.step.occurrence.place.position, b.step.occurrence.place.position))
+	sorted := slices.Clone(indexes)
+	slices.SortStableFunc(sorted, func(a, b int) int {
+		return cmp.Or(ranker.Precedence(found[a].key, found[b].key), cmp.Compare(found[a].step.occurrence.place.position, found[b].step.occurrence.place.position))
 	})
+	own := make([]candidate, 0, len(sorted))
+	for _, i := range sorted {
+		own = append(own, found[i])
+	}
 	for k, i := range indexes {
 		found[i] = own[k]
 	}
@@ -363,6 +369,21 @@
 // acceptedMS returns since when the occurrence waits, on the wall clock.
 func (o *occurrence) acceptedMS() int64 { return max(o.job().submission.AcceptedMS, o.dueMS) }
 
+// donePathMS returns how much shorter the critical path is than at first, because steps are done.
+func (o *occurrence) donePathMS(factor float64) int64 {
+	if o.unfinishedSteps == len(o.steps) {
+		return 0
+	}
+	steps := slices.Clone(o.job().submission.Job.Steps)
+	wholeMS := ranker.CriticalPathMS(steps)
+	for i, s := range o.steps {
+		if s.unfinishedUnits == 0 {
+			steps[i].EstimateMS = 0
+		}
+	}
+	return int64(factor * float64(wholeMS-ranker.CriticalPathMS(steps)))
+}
+
 // QueueStats are counters of the order under scarcity, by reason.
 type QueueStats struct{ Delayed, Refused map[string]int }
 
--- a/internal/workload/scheduler/sequence_test.go
+++ b/internal/workload/scheduler/sequence_test.go
@@ -45,3 +45,28 @@
 	}
 	return t.Outcome.AtMS - wallStartMS
 }
+
+// TestPartlyDoneJobKeepsItsTime guards against the last step of a job being delayed as if all of
+// the job were still to do.
+func TestPartlyDoneJobKeepsItsTime(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addWorkers(2, 4)
+	sim.startAll()
+	sim.run(3000)
+	// The whole critical path has 3.1 s of slack, so after 4 s in the first step it could not
+	// end in time any more. The last step could wait for 3.1 s.
+	first, last := independentTasks(1, 1, 4000), independentTasks(1, 1, 200)
+	last.After = []int{0}
+	q := &sim.config.Queues[1]
+	q.Stretch, q.ObjectiveMS = 1.5, 1000
+	sim.config.BuildIndex()
+	sim.submit("render", "a", jobA, first, last)
+	for n := range 300 {
+		sim.after(int64(n)*50, func() { sim.submit("render", "a", fmt.Sprintf("bb%014x", n), independentTasks(4, 1, 1500)) })
+	}
+	sim.run(20_000)
+	job := sim.checker.jobs[jobA]
+	if end := sim.endOf(jobA); end == 0 || end > job.submittedMS+7300 {
+		t.Errorf("the job ended after %d ms, want at most 7300", end-job.submittedMS)
+	}
+}
