sequencer: sort without keeping equal items stable

Ties are broken by index instead, with the same result. A test checks that the holder learns the ratio of actual to estimated times.

--- a/internal/workload/scheduler/export_test.go
+++ b/internal/workload/scheduler/export_test.go
@@ -159,3 +159,8 @@
 		}
 	}
 }
+
+// EstimateFactorForTest returns the correction of the estimates of a queue's callers.
+func (m *Model) EstimateFactorForTest(queue string) float64 {
+	return m.sequencing.estimates.Factor(queue)
+}
--- a/internal/workload/scheduler/sequence_test.go
+++ b/internal/workload/scheduler/sequence_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"daisyhead/internal/workload/describer"
 )
 
 // TestOverloadDelaysLargeJobs guards against an order that makes most jobs late because the
@@ -70,3 +72,28 @@
 		t.Errorf("the job ended after %d ms, want at most 7300", end-job.submittedMS)
 	}
 }
+
+// TestHolderLearnsEstimates guards against a critical path that stays too short although all
+// tasks of a queue take three times as long as their callers estimate.
+func TestHolderLearnsEstimates(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addWorkers(2, 4)
+	for _, f := range sim.workers {
+		f.slowdown = 3
+	}
+	sim.startAll()
+	sim.run(3000)
+	for n := range 20 {
+		steps := []describer.Step{independentTasks(4, 1, 2000), gangStep(2, 1, 2000)}
+		sim.submit("batch", "b", fmt.Sprintf("ba%014x", n), steps[n%2])
+	}
+	sim.run(25_000)
+	h := sim.holder().model
+	// 20 steps count for 20 / (20 + 8) of the ratio, as a power.
+	if got := h.EstimateFactorForTest("batch"); got < 2 || got > 3 {
+		t.Errorf("factor %.2f for a queue with tasks that take 3 times as long, want 2 to 3", got)
+	}
+	if got := h.EstimateFactorForTest("render"); got != 1 {
+		t.Errorf("factor %.2f for a queue without tasks, want 1", got)
+	}
+}
--- a/internal/workload/sequencer/sequencer.go
+++ b/internal/workload/sequencer/sequencer.go
@@ -110,7 +110,10 @@
 // Order returns the places of the items, in order. The order is least slack if there is
 // capacity for all of them.
 func Order(p Policy, items []Item, l Load) []Place {
-	s := sequence{items: items, load: l, free: l.Free, ahead: l.Ahead}
+	s := sequence{items: items, load: l, places: make([]Place, 0, len(items)), free: l.Free, ahead: l.Ahead, costs: make([]float64, len(items))}
+	for i, it := range items {
+		s.costs[i] = it.Work / max(it.Value, minValue)
+	}
 	all := make([]int, len(items))
 	for i := range all {
 		all[i] = i
@@ -127,8 +130,8 @@
 	case p == LeastSlack || s.enoughFor(all):
 		// Expired jobs last, the others by their latest start, as ranker.Compare has them. The
 		// division maps all other classes to 0.
-		slices.SortStableFunc(all, func(a, b int) int {
-			return cmp.Or(cmp.Compare(s.class(a)/Expired, s.class(b)/Expired), cmp.Compare(items[a].LatestStartMS, items[b].LatestStartMS))
+		slices.SortFunc(all, func(a, b int) int {
+			return cmp.Or(cmp.Compare(s.class(a)/Expired, s.class(b)/Expired), cmp.Compare(items[a].LatestStartMS, items[b].LatestStartMS), a-b)
 		})
 		s.addAll(all)
 	default:
@@ -145,8 +148,13 @@
 	// free is the capacity that the items so far leave free, ahead the work that waits
 	// beyond it.
 	free, ahead float64
+	// costs are the work that each item needs for its value.
+	costs []float64
 }
 
+// minValue keeps the cost of an item without a value finite.
+const minValue = 0.01
+
 // class returns what the job can be worth if it starts now.
 func (s *sequence) class(i int) Class { return s.classAt(i, float64(s.load.NowMS)) }
 
@@ -161,7 +169,7 @@
 }
 
 // cost returns the work that the job needs for its value.
-func (s *sequence) cost(i int) float64 { return s.items[i].Work / max(s.items[i].Value, 0.01) }
+func (s *sequence) cost(i int) float64 { return s.costs[i] }
 
 // add appends an item to the order.
 func (s *sequence) add(i int, c Class, delayed bool) {
@@ -189,8 +197,8 @@
 }
 
 func (s *sequence) sortBy(order []int, key func(int) float64) {
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(s.class(a), s.class(b)), cmp.Compare(key(a), key(b)))
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(s.class(a), s.class(b)), cmp.Compare(key(a), key(b)), a-b)
 	})
 	s.addAll(order)
 }
@@ -212,7 +220,9 @@
 // took longer than estimated.
 func (s *sequence) enoughFor(all []int) bool {
 	order := slices.Clone(all)
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.items[a].LatestStartMS, s.items[b].LatestStartMS) })
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(s.items[a].LatestStartMS, s.items[b].LatestStartMS), a-b)
+	})
 	free, ahead := s.free, roughness*s.ahead
 	for _, i := range order {
 		if s.items[i].Width > free && s.classAt(i, float64(s.load.NowMS)+ahead) > s.class(i) {
@@ -244,7 +254,7 @@
 		for _, group := range [][]int{within, over} {
 			kept, removed := s.keep(group, c)
 			if p == DensityOfKept {
-				slices.SortStableFunc(kept, func(a, b int) int { return cmp.Compare(s.cost(a), s.cost(b)) })
+				slices.SortFunc(kept, func(a, b int) int { return cmp.Or(cmp.Compare(s.cost(a), s.cost(b)), a-b) })
 			}
 			for _, i := range kept {
 				s.add(i, c, s.class(i) < c)
@@ -254,8 +264,8 @@
 		}
 		all = rest
 	}
-	slices.SortStableFunc(rest, func(a, b int) int {
-		return cmp.Or(cmp.Compare(s.class(a), s.class(b)), cmp.Compare(s.cost(a), s.cost(b)))
+	slices.SortFunc(rest, func(a, b int) int {
+		return cmp.Or(cmp.Compare(s.class(a), s.class(b)), cmp.Compare(s.cost(a), s.cost(b)), a-b)
 	})
 	for _, i := range rest {
 		s.add(i, Expired, s.class(i) == InTime)
@@ -274,10 +284,10 @@
 	// The jobs are started one after the other, so a job with much work may come after one
 	// with a later start but little work.
 	due := func(i int) float64 { return float64(deadline(i)) + s.items[i].Work }
-	slices.SortStableFunc(group, func(a, b int) int { return cmp.Compare(due(a), due(b)) })
+	slices.SortFunc(group, func(a, b int) int { return cmp.Or(cmp.Compare(due(a), due(b)), a-b) })
 	free, ahead := s.free, s.ahead
 	costs := costliest{sequence: s}
-	out := map[int]bool{}
+	out := make([]bool, len(s.items))
 	for _, i := range group {
 		if s.items[i].Width <= free {
 			// It starts at once.
--- a/internal/workload/sequencer/sequencer_test.go
+++ b/internal/workload/sequencer/sequencer_test.go
@@ -215,3 +215,19 @@
 		t.Errorf("returns in ms (-want +got):\n%s", diff)
 	}
 }
+
+// BenchmarkOrder measures the order of a long queue under overload.
+func BenchmarkOrder(b *testing.B) {
+	var items []sequencer.Item
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 800 {
+		at := r.Int64N(20_000)
+		items = append(items, sequencer.Item{
+			AcceptedMS: at, LatestStartMS: at + 5000, LastUsefulStartMS: at + 15_000,
+			Work: 50 + 100*r.Float64(), Width: 0.1, Value: 0.3 + r.Float64(), OverShare: r.IntN(2) == 0,
+		})
+	}
+	for b.Loop() {
+		sequencer.Order(sequencer.DensityOfKept, items, sequencer.Load{NowMS: 20_000})
+	}
+}
