scheduler: check free capacity for the queue of the submission

The check for free capacity looked the queue up by name again, and found no worker for a queue that is no longer configured. A test checks that a wait for capacity names its place in the order.

--- a/internal/workload/scheduler/admission.go
+++ b/internal/workload/scheduler/admission.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/packer"
 	"daisyhead/internal/workload/ranker"
 	"daisyhead/internal/workload/reducer"
@@ -81,7 +82,7 @@
 			ahead = scale * place.Ahead
 		}
 	}
-	if !sequencer.Hopeless(item, m.now.WallMS, ahead) || m.fitsNow(o, q.Name) {
+	if !sequencer.Hopeless(item, m.now.WallMS, ahead) || m.fitsNow(o, q) {
 		m.addToGroup(g, item, o)
 		return r, false
 	}
@@ -125,13 +126,12 @@
 }
 
 // fitsNow reports whether a unit of the first steps of the job would find a place at present.
-func (m *Model) fitsNow(o *occurrence, queue string) bool {
+func (m *Model) fitsNow(o *occurrence, q describer.Queue) bool {
 	if m.sequencing.admissionPlan == nil || m.now.MonoMS-m.sequencing.admissionPlanMS > admissionPlanAgeMS {
 		m.sequencing.admissionPlan, m.sequencing.admissionPlanMS = m.newPlan(), m.now.MonoMS
 		m.sequencing.admissionPlan.reserveHeadroom()
 	}
 	p := m.sequencing.admissionPlan
-	q, _ := m.Config.Queue(queue)
 	for _, s := range o.steps {
 		if len(s.spec.After) > 0 {
 			continue
--- a/internal/workload/scheduler/sequence_test.go
+++ b/internal/workload/scheduler/sequence_test.go
@@ -97,3 +97,33 @@
 		t.Errorf("factor %.2f for a queue without tasks, want 1", got)
 	}
 }
+
+// TestWaitNamesPlaceInOrder guards against a wait for capacity whose place in the order, or the
+// job before it, the log doesn't tell.
+func TestWaitNamesPlaceInOrder(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	sim.addWorkers(2, 4)
+	sim.startAll()
+	sim.run(3000)
+	reports := sim.waitReports()
+	for n := range 6 {
+		sim.submit("render", "a", fmt.Sprintf("bb%014x", n), independentTasks(48, 1, 20_000))
+	}
+	sim.run(6500)
+	named := 0
+	for _, r := range *reports {
+		position, ok := r["Position"].(int)
+		after, _ := r["After"].(string)
+		aheadMS, _ := r["AheadMS"].(int64)
+		if !ok {
+			continue
+		}
+		named++
+		if position < 1 || position > 5 || after == "" || after == r["Job"] || aheadMS <= 0 || r["Class"] == "" {
+			t.Errorf("a wait is reported as %v", r)
+		}
+	}
+	if named == 0 {
+		t.Errorf("none of %d reports names a place", len(*reports))
+	}
+}
