scheduler: count silent workers in the capacity of the order

While workers don't answer, the capacity that the order under scarcity reckons with was that of the others. Jobs that could still end in time once the workers are back were put behind smaller ones.

The capacity is that of all workers that are expected to take work, as admission had it already.

--- a/internal/workload/scheduler/admission.go
+++ b/internal/workload/scheduler/admission.go
@@ -60,8 +60,6 @@
 	item := m.itemOf(b, d, key, sub.AcceptedMS, m.valueOf(sub.Job, q.Name))
 	item.OverShare = b.over[sub.Job.Workspace]
 	g, ahead := m.groupFor(b, key)
-	// Workers that don't answer at present are expected to take work again soon.
-	scale := amounts(b.room)[b.scarcest] / max(amounts(b.allRoom)[b.scarcest], amounts(b.room)[b.scarcest])
 	load := sequencer.Load{NowMS: m.now.WallMS, Ahead: ahead}
 	var items []sequencer.Item
 	if g != nil {
@@ -71,7 +69,7 @@
 	for _, it := range items {
 		atMost += it.Work
 	}
-	if !sequencer.Hopeless(item, m.now.WallMS, scale*atMost) {
+	if !sequencer.Hopeless(item, m.now.WallMS, atMost) {
 		m.addToGroup(g, item, o)
 		return r, false
 	}
@@ -79,7 +77,7 @@
 	load.NowMS = m.now.WallMS
 	for _, place := range sequencer.Order(sequencer.DensityOfKept, items, load) {
 		if place.Index == len(items)-1 {
-			ahead = scale * place.Ahead
+			ahead = place.Ahead
 		}
 	}
 	if !sequencer.Hopeless(item, m.now.WallMS, ahead) || m.fitsNow(o, q) {
--- a/internal/workload/scheduler/sequence.go
+++ b/internal/workload/scheduler/sequence.go
@@ -38,11 +38,10 @@
 
 // backlog is the waiting work of one service, by precedence.
 type backlog struct {
-	// room is the capacity of the workers that may get tasks, and allRoom that of all
-	// workers that are expected to get some again soon.
-	room, allRoom describer.Resources
-	free          describer.Resources
-	groups        []*backlogGroup
+	// room is the capacity of the workers that get tasks, also of those that get none at
+	// present but are expected to get some again soon. free is what can be used at once.
+	room, free describer.Resources
+	groups     []*backlogGroup
 	// scarcest is the index of the scarcest resource; see amounts.
 	scarcest int
 	// use is what each workspace has running, agedUse what aged jobs have.
@@ -311,8 +310,8 @@
 		if b == nil {
 			continue
 		}
-		if m.mayReopen(w) {
-			b.allRoom = b.allRoom.Add(w.Room)
+		if cause := m.closedCause(w); cause != "" && !quarantine(cause) && m.mayReopen(w) {
+			b.room = b.room.Add(w.Room)
 		}
 		for _, r := range w.runs.list {
 			if r.unit == nil {
