Merge the order under scarcity and early refusal

Cause: under lasting overload, least slack serves jobs that are about to be late and makes the next one late too, and a job is accepted that can't end before it is worthless. Change: the order follows what callers lose, and the holder refuses such jobs with a time to return. StoreRefused of the slow store is StoreCannotAppend now; the test of refusals hands the holder's commands to the simulation, since the holder keeps submissions back behind an append that is not answered.

--- a/internal/workload/assembler/export_test.go
+++ b/internal/workload/assembler/export_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"daisyhead/internal/workload/forwarder"
+	"daisyhead/internal/workload/reducer"
+	"daisyhead/internal/workload/scheduler"
 )
 
 // StartForTest runs the instance without listeners until ctx ends, and returns the handler for
@@ -17,3 +20,18 @@
 	inst.startBackground(group, ctx)
 	return forwarder.Handler(inst, inst.storer), group.Wait
 }
+
+// AppendAsHolderForTest appends a record at an instance that holds the term and whose control
+// loop gives the answer.
+func AppendAsHolderForTest(ctx context.Context, r reducer.Record, answer scheduler.StoredCmd) error {
+	inst := New(Settings{Instance: "i"}, Dependencies{})
+	inst.status.holdsTerm.Store(true)
+	answer.RequestID = 1
+	go func() {
+		for ctx.Err() == nil {
+			inst.storer.deliver(answer)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	return inst.storer.Append(ctx, r)
+}
--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -25,6 +25,10 @@
 	ordersDroppedUnsent, passesPaced prometheus.Gauge
 	// Gauges of the workspaces.
 	workspaceUse, workspaceLimit *prometheus.GaugeVec
+
+	// Counters of the order under scarcity.
+	jobsDelayed, jobsRefused *prometheus.CounterVec
+	queueStats               scheduler.QueueStats
 }
 
 func newMeter() *meter {
@@ -61,7 +65,13 @@
 			Name: "daisyhead_workspace_limit", Help: "Limit of each workspace, at the holder. Resources without a limit are left out.",
 		}, workspaceLabels),
 	}
-	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
+	m.jobsDelayed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "daisyhead_jobs_delayed_total", Help: "Jobs that this instance, as the holder, has put behind others for lack of capacity, by reason.",
+	}, []string{"reason"})
+	m.jobsRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "daisyhead_jobs_refused_total", Help: "Jobs that this instance, as the holder, has refused for lack of capacity, by reason.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.jobsDelayed, m.jobsRefused, m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
 		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced, m.workspaceUse, m.workspaceLimit)
 	return m
 }
@@ -107,6 +117,17 @@
 	}
 }
 
+// setQueueStats advances the counters of the order under scarcity to those of the model.
+func (m *meter) setQueueStats(s scheduler.QueueStats) {
+	for reason, n := range s.Delayed {
+		m.jobsDelayed.WithLabelValues(reason).Add(float64(n - m.queueStats.Delayed[reason]))
+	}
+	for reason, n := range s.Refused {
+		m.jobsRefused.WithLabelValues(reason).Add(float64(n - m.queueStats.Refused[reason]))
+	}
+	m.queueStats = s
+}
+
 func (m *meter) countOrder(kind string, result scheduler.OrderResult) {
 	m.orders.WithLabelValues(kind, string(result)).Inc()
 }
--- a/internal/workload/describer/job.go
+++ b/internal/workload/describer/job.go
@@ -211,8 +211,9 @@
 	// Maximum is what the workspace may have running across all workers. A resource that is 0
 	// there is not limited.
 	Maximum Resources
-	// Weight is the workspace's share when all capacity is in use, and the number of jobs a
-	// second that are within it. 0 means that all of them are.
+	// Weight is the workspace's share, relative to the others, when all capacity is in use, and
+	// the number of jobs a second that are within it. 0 counts as 1 among the others, and sets
+	// no bound to the number of jobs.
 	Weight float64
 }
 
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -121,10 +121,13 @@
 	StoreDone StoreResult = "Done"
 	// StoreNotHolder means that nothing was written, because another instance decides.
 	StoreNotHolder StoreResult = "NotHolder"
-	// StoreRefused means that nothing was written, because the holder can't append.
-	StoreRefused StoreResult = "Refused"
+	// StoreCannotAppend means that nothing was written, because the holder can't append.
+	StoreCannotAppend StoreResult = "CannotAppend"
 	// StoreInvalid means that nothing was written, because the record can't be decoded.
 	StoreInvalid StoreResult = "Invalid"
+	// StoreRefused means that nothing was written, because there is no capacity for the job in
+	// time.
+	StoreRefused StoreResult = "Refused"
 	// StoreUnknown means that the record may or may not have been written.
 	StoreUnknown StoreResult = "Unknown"
 )
@@ -133,6 +136,9 @@
 type StoredCmd struct {
 	RequestID uint64
 	Result    StoreResult
+	// Reason and RetryAfterMS are set with StoreRefused.
+	Reason       string
+	RetryAfterMS int64
 }
 
 // EventCmd logs a decision or a change of the model's state. Fields holds alternating
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -33,6 +33,11 @@
 	steps []*step
 	// unfinishedSteps counts the steps that are not done.
 	unfinishedSteps int
+	// place is the occurrence's place in the last pass, the zero value if capacity was not short.
+	place queuePlace
+	// delayed is set once it was counted as delayed, aged once it had waited for so long that
+	// it went before others.
+	delayed, aged bool
 }
 
 // step is a step of the job in one occurrence, divided into units.
@@ -131,6 +136,7 @@
 	m.jobs[j.id] = j
 	m.shares.Add(j.id, sub.Job.Workspace, sub.AcceptedMS)
 	m.liveJobs = append(m.liveJobs, j)
+	m.noteWork(j)
 	for _, id := range sortedUnits(units) {
 		m.adoptUnit(j, id, units[id])
 	}
@@ -208,6 +214,7 @@
 		return
 	}
 	m.speeds.Add(s.durations)
+	m.learnEstimate(s)
 	s.durations = nil
 	s.occurrence.unfinishedSteps--
 	m.endIfComplete(s.job)
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -118,10 +118,12 @@
 	m.passNeeded, m.lastPassMS = false, m.now.MonoMS
 	found, split := m.candidates()
 	if len(found) == 0 {
+		m.sequencing.backlogs = nil
 		return
 	}
 	m.emit(PassedCmd{})
 	p := m.newPlan()
+	m.sequence(found, p)
 	p.split = split
 	for _, c := range found {
 		if p.startBudget <= 0 {
@@ -172,6 +174,7 @@
 		Priority: q.Priority, Steps: j.submission.Job.Steps, Stretch: q.Stretch, ObjectiveMS: q.ObjectiveMS,
 		AcceptedMS: max(j.submission.AcceptedMS, s.occurrence.dueMS), NowMS: m.now.WallMS, Claims: q.Priority == 0 && split != nil && split.claiming[s.firstWaiting()],
 		BeyondShare: m.beyondShare(j),
+		Correction:  m.sequencing.estimates.Factor(q.Name),
 	})
 }
 
--- a/internal/workload/scheduler/slow_store_test.go
+++ b/internal/workload/scheduler/slow_store_test.go
@@ -138,8 +138,8 @@
 		read scheduler.Msg
 		want scheduler.StoreResult
 	}{
-		{"refused", refused, nil, scheduler.StoreRefused},
-		{"neither appends nor reads are answered", nil, scheduler.LedgerLatencyMsg{Unanswered: true}, scheduler.StoreRefused},
+		{"refused", refused, nil, scheduler.StoreCannotAppend},
+		{"neither appends nor reads are answered", nil, scheduler.LedgerLatencyMsg{Unanswered: true}, scheduler.StoreCannotAppend},
 		{"only slow", nil, scheduler.LedgerLatencyMsg{EstimateMS: slowLatencyMS, LatencyMS: slowLatencyMS, Exact: true}, ""},
 		{"no answers yet", nil, nil, ""},
 		{"another holder", nil, scheduler.LedgerReadMsg{From: 2, Records: []reducer.Record{reducer.TermRecord(reducer.Term{Number: 2, Holder: "b/1"})}}, scheduler.StoreNotHolder},
