gatekeeper: limit connections, heads and bodies by memory and descriptors

Cause: the servers had no limit of connections, heads of up to 1 MB, no time limit of bodies, and built a body of 1 MB of empty steps in memory. Responses that a client does not read kept its connection for ever.

Change: the new package internal/entry/gatekeeper protects the listeners for callers, readiness, peers and metrics.

--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"daisyhead/internal/entry/gatekeeper"
 	"daisyhead/internal/workload/acceptor"
 	"daisyhead/internal/workload/describer"
 	"daisyhead/internal/workload/follower"
@@ -53,6 +54,8 @@
 	ConfigStale time.Duration
 	// Visible is the time within which an accepted job must be visible at every instance.
 	Visible time.Duration
+	// PeerLimits and MetricsLimits are the limits of the listeners for peers and for metrics.
+	PeerLimits, MetricsLimits gatekeeper.Limits
 }
 
 // WorkerClient sends orders to workers. Start and Stop are for one task; Hold extends the
@@ -93,6 +96,8 @@
 	Handler http.Handler
 	// Optional is set if the instance works without the listener.
 	Optional bool
+	// Limits are the limits of its clients.
+	Limits gatekeeper.Limits
 }
 
 // Listeners is the list of an instance's listeners.
@@ -195,8 +200,8 @@
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
 	listeners = append(listeners,
-		Listener{Name: "Peers", Address: inst.settings.Peer, Handler: forwarder.Handler(inst, inst.storer)},
-		Listener{Name: "Metrics", Address: inst.settings.Metrics, Handler: inst.meter.handler(), Optional: true})
+		Listener{Name: "Peers", Address: inst.settings.Peer, Handler: forwarder.Handler(inst, inst.storer), Limits: inst.settings.PeerLimits},
+		Listener{Name: "Metrics", Address: inst.settings.Metrics, Handler: inst.meter.handler(), Optional: true, Limits: inst.settings.MetricsLimits})
 	servers, err := inst.startServers(group, listeners)
 	if err != nil {
 		return err
@@ -239,6 +244,7 @@
 
 // startServers listens on all addresses and serves them in goroutines of the group.
 func (inst *Instance) startServers(group *errgroup.Group, listeners Listeners) (servers []*http.Server, err error) {
+	var gates gatekeeper.Collectors
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp", l.Address)
 		if err != nil && l.Optional {
@@ -248,27 +254,25 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen for %s", l.Name)
 		}
-		s := &http.Server{Handler: inst.closeOnShutdown(l.Handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+		s := &http.Server{Handler: inst.closeOnShutdown(l.Handler)}
+		gate := gatekeeper.New(l.Name, l.Limits, inst.deps.Reporter)
+		gate.Protect(s)
+		gates = append(gates, gate)
 		servers = append(servers, s)
 		group.Go(func() error {
-			if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(gate.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 				return errors.Wrapf(err, "serve %s", l.Name)
 			}
 			return nil
 		})
 	}
+	inst.meter.registry.MustRegister(gates)
 	return servers, nil
 }
 
-const (
-	// headerTimeout limits the time to receive the headers of a request.
-	headerTimeout = 3 * time.Second
-	// callerIdleTimeout is longer than callers usually pause between two calls.
-	callerIdleTimeout = 60 * time.Second
-	// closeShare is the part of the grace period in which the last answers are written. The
-	// rest is left for the process to exit.
-	closeShare = 0.25
-)
+// closeShare is the part of the grace period in which the last answers are written. The
+// rest is left for the process to exit.
+const closeShare = 0.25
 
 // closeOnShutdown makes callers close their connections after the next answer once the
 // instance is shutting down.
