--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -75,6 +75,9 @@
 	// up-to-date table may say that a job does not exist.
 	MaxTableAge time.Duration
 
+	// MaxRecordBytes is the store's limit for one record, 0 for reducer.StoreRecordBytes.
+	MaxRecordBytes int
+
 	// servedVersion is the newest configuration version that calls to this instance have been
 	// answered with, here or by a peer.
 	servedVersion atomic.Uint64
@@ -237,14 +240,27 @@
 		return a.forward(ctx, c, "the ledger is out of reach")
 	}
 	record := reducer.SubmissionRecord(reducer.Submission{Job: job, Queue: q, AcceptedMS: time.Now().UnixMilli()})
-	if record.Oversized() {
-		return Answer{Verdict: Invalid, Reason: "the job is too large"}
+	if err := a.checkSizes(job, record); err != nil {
+		return Answer{Verdict: Invalid, Reason: err.Error()}
 	}
 	answer := a.store(ctx, c, record, Accepted)
 	a.Reporter.Event("JobSubmitted", "Job", id, "Queue", q.Name, "Workspace", workspace, "Verdict", answer.Verdict, "TableAgeMS", time.Since(v.AsOf).Milliseconds())
 	return answer
 }
 
+// checkSizes returns an error if the store would refuse the job's record or that of one of its
+// units.
+func (a *Acceptor) checkSizes(job describer.Job, record reducer.Record) error {
+	limit := reducer.StoreRecordBytes
+	if a.MaxRecordBytes > 0 {
+		limit = min(limit, a.MaxRecordBytes)
+	}
+	if size := len(record.Key) + len(record.Value); record.Oversized() || size > limit {
+		return errors.Newf("the record of the job has %d bytes, at most %d are allowed", size, min(limit, reducer.MaxRecordBytes))
+	}
+	return reducer.CheckUnitSizes(job, limit)
+}
+
 // cancel stores a cancellation, unless the job is unknown or already cancelled.
 func (a *Acceptor) cancel(ctx context.Context, c Call, id string) Answer {
 	asked := time.Now()
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -117,6 +117,13 @@
 	return &describer.Job{Steps: []describer.Step{{Count: 1, RequireLabel: strings.Repeat("x", reducer.MaxRecordBytes)}}}
 }
 
+// submission returns a submission of one step.
+func submission(s describer.Step) acceptor.Call {
+	c := call(acceptor.KindSubmit, "/p/"+id, "key")
+	c.Job.Steps = []describer.Step{s}
+	return c
+}
+
 func TestAnswer(t *testing.T) {
 	running := map[string]acceptor.JobView{id: {Known: true, State: reducer.StateRunning}}
 	completed := map[string]acceptor.JobView{id: {Known: true, State: reducer.StateCompleted}}
@@ -173,6 +180,9 @@
 		{"cancelling a job that no table has", fakeDependencies{cutOff: true, tableAge: time.Second, peer: &acceptor.Answer{Verdict: acceptor.JobNotFound}}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.JobNotFound, "", 0},
 		{"the state of a job that an older table lacks: the call is forwarded", fakeDependencies{cutOff: true, tableAge: time.Second, peer: reported}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.StateReported, reducer.StateFailed, 0},
 		{"the state of a job that an older table lacks, and no peer", fakeDependencies{cutOff: true, tableAge: time.Second}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.NotRun, "", 0},
+		{"a gang whose record the store would refuse", fakeDependencies{}, submission(describer.Step{Count: 12000, Gang: true}), acceptor.Invalid, "", 0},
+		{"as many single tasks", fakeDependencies{}, submission(describer.Step{Count: 12000}), acceptor.Accepted, "", 1},
+		{"a large gang", fakeDependencies{}, submission(describer.Step{Count: 3000, Gang: true}), acceptor.Accepted, "", 1},
 		{"counted", fakeDependencies{}, call(acceptor.KindState, "/p/", "key"), acceptor.PendingReported, "", 0},
 		{"an outdated count is not reported", fakeDependencies{tableAge: old}, call(acceptor.KindState, "/p/", "key"), acceptor.NotRun, "", 0},
 	} {
--- a/internal/workload/assembler/assembler.go
+++ b/internal/workload/assembler/assembler.go
@@ -54,6 +54,8 @@
 	ConfigStale time.Duration
 	// Visible is the time within which an accepted job must be visible at every instance.
 	Visible time.Duration
+	// RecordBytes is the store's limit for one record, 0 if it is not known.
+	RecordBytes int
 	// PeerLimits and MetricsLimits are the limits of the listeners for peers and for metrics.
 	PeerLimits, MetricsLimits gatekeeper.Limits
 }
@@ -140,6 +142,7 @@
 	inst.acceptor = &acceptor.Acceptor{
 		Jobs: jobTable{inst}, Ledger: inst.storer, Config: inst.config, Peers: peerCaller{inst}, Reporter: deps.Reporter,
 		MaxConfigAge: s.ConfigDeadline * 3 / 4, MaxOutageConfigAge: s.ConfigStale, MaxTableAge: s.Visible / 2,
+		MaxRecordBytes: s.RecordBytes,
 	}
 	return inst
 }
--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -46,6 +46,16 @@
 	maxMessageBytes = 2 << 20
 )
 
+// decoding decodes messages and replies. Each element of a list, which has one byte at least, may
+// take 300 bytes of memory. The longest lists are those of relayed outcomes.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 16384, MaxMapPairs: 1024, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err) // can't happen: the options are valid
+	}
+	return mode
+}()
+
 // Forwarder sends messages to peers.
 type Forwarder struct {
 	client *http.Client
@@ -193,7 +203,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return true, errors.Newf("status %d", resp.StatusCode)
 	}
-	return true, cbor.Unmarshal(body, reply)
+	return true, decoding.Unmarshal(body, reply)
 }
 
 // YieldRequest is the body of a request to take over the term.
@@ -299,7 +309,7 @@
 func decodeRequest(w http.ResponseWriter, r *http.Request, msg any) bool {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes))
 	if err == nil {
-		err = cbor.Unmarshal(data, msg)
+		err = decoding.Unmarshal(data, msg)
 	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -54,6 +54,9 @@
 // often it is repeated, and the holder writes nothing else meanwhile.
 const MaxRecordBytes = 192 << 10
 
+// StoreRecordBytes is the platform's limit for one record.
+const StoreRecordBytes = 256 << 10
+
 // Oversized reports whether the record exceeds MaxRecordBytes.
 func (r Record) Oversized() bool { return len(r.Key)+len(r.Value) > MaxRecordBytes }
 
@@ -398,11 +401,12 @@
 func IsSubmission(r Record) bool { return strings.HasPrefix(r.Key, kindSubmission+"/") }
 
 // DecodeSubmission decodes a submission. It returns false for any other record,
-// and for one that can't be decoded or is oversized.
+// and for one that can't be decoded or is oversized, also if that is only the record of one of
+// the job's units.
 func DecodeSubmission(r Record) (s Submission, ok bool) {
 	if !IsSubmission(r) || r.Oversized() {
 		return s, false
 	}
 	err := cbor.Unmarshal(r.Value, &s)
-	return s, err == nil && s.Job.Validate() == nil
+	return s, err == nil && s.Job.Validate() == nil && CheckUnitSizes(s.Job, StoreRecordBytes) == nil
 }
