acceptor: a caller sees only the jobs of its own workspace

Cause: any valid key, and any call of a public queue, told the state of every job whose ID was known, and cancelled it.

Change: GET and DELETE for a job of another workspace are answered like those for an unknown job (410). The platform's specification decides that: "A call carries a key of the job's workspace (`Authorization`: `Token KEY`), unless the call's route is `public`." Through a public queue anyone reaches the jobs of public queues, and no others. A job that was submitted without a key has no workspace and is nobody's, so any caller reaches it. Counts are per queue as before.

Measured: five of the new cases of TestAnswer fail on the code before (another workspace's job: state, end, cancelling, cancelled before, and through a public queue), all pass now.

--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -196,9 +196,9 @@
 	case c.Kind == KindSubmit:
 		return a.submit(ctx, c, q, workspace, id)
 	case c.Kind == KindCancel:
-		return a.cancel(ctx, c, id)
+		return a.cancel(ctx, c, q, workspace, id)
 	}
-	return a.state(ctx, c, id)
+	return a.state(ctx, c, q, workspace, id)
 }
 
 // answerAdmitted reports the state of a job to a peer that has already checked the key. It
@@ -262,10 +262,12 @@
 }
 
 // cancel stores a cancellation, unless the job is unknown or already cancelled.
-func (a *Acceptor) cancel(ctx context.Context, c Call, id string) Answer {
+func (a *Acceptor) cancel(ctx context.Context, c Call, q describer.Queue, workspace, id string) Answer {
 	asked := time.Now()
 	v := a.lookup(ctx, id)
 	switch {
+	case v.Known && !v.visible(q, workspace):
+		return Answer{Verdict: JobNotFound}
 	case v.Known && v.Cancelled:
 		return Answer{Verdict: Cancelled}
 	case !v.Known:
@@ -278,10 +280,12 @@
 
 // state reports the state of a job. A final state does not change any more, so it may come from
 // a table that is out of date.
-func (a *Acceptor) state(ctx context.Context, c Call, id string) Answer {
+func (a *Acceptor) state(ctx context.Context, c Call, q describer.Queue, workspace, id string) Answer {
 	asked := time.Now()
 	v := a.lookup(ctx, id)
 	switch {
+	case v.Known && !v.visible(q, workspace):
+		return Answer{Verdict: JobNotFound}
 	case v.Known && isFinal(v.State):
 		return Answer{Verdict: StateReported, State: v.State}
 	case v.Known:
--- a/internal/workload/acceptor/acceptor_test.go
+++ b/internal/workload/acceptor/acceptor_test.go
@@ -129,6 +129,10 @@
 	completed := map[string]acceptor.JobView{id: {Known: true, State: reducer.StateCompleted}}
 	reported := &acceptor.Answer{Verdict: acceptor.StateReported, State: reducer.StateFailed}
 	accepted := &acceptor.Answer{Verdict: acceptor.Accepted}
+	own := map[string]acceptor.JobView{id: {Known: true, State: reducer.StateRunning, Workspace: "w", Queue: "q"}}
+	foreign := map[string]acceptor.JobView{id: {Known: true, State: reducer.StateRunning, Workspace: "other", Queue: "q"}}
+	foreignEnded := map[string]acceptor.JobView{id: {Known: true, Cancelled: true, State: reducer.StateCancelled, Workspace: "other", Queue: "q"}}
+	open := map[string]acceptor.JobView{id: {Known: true, State: reducer.StateRunning, Workspace: "other", Queue: "open", Public: true}}
 	old := 5 * time.Second
 	for _, c := range []struct {
 		name    string
@@ -183,6 +187,14 @@
 		{"a gang whose record the store would refuse", fakeDependencies{}, submission(describer.Step{Count: 12000, Gang: true}), acceptor.Invalid, "", 0},
 		{"as many single tasks", fakeDependencies{}, submission(describer.Step{Count: 12000}), acceptor.Accepted, "", 1},
 		{"a large gang", fakeDependencies{}, submission(describer.Step{Count: 3000, Gang: true}), acceptor.Accepted, "", 1},
+		{"the state of another workspace's job", fakeDependencies{views: foreign}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.JobNotFound, "", 0},
+		{"the end of another workspace's job", fakeDependencies{views: foreignEnded}, call(acceptor.KindState, "/p/"+id, "key"), acceptor.JobNotFound, "", 0},
+		{"cancelling another workspace's job", fakeDependencies{views: foreign}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.JobNotFound, "", 0},
+		{"cancelling another workspace's cancelled job", fakeDependencies{views: foreignEnded}, call(acceptor.KindCancel, "/p/"+id, "key"), acceptor.JobNotFound, "", 0},
+		{"a job of a private queue through a public one", fakeDependencies{views: foreign}, call(acceptor.KindState, "/open/"+id, ""), acceptor.JobNotFound, "", 0},
+		{"an own job through another queue", fakeDependencies{views: own}, call(acceptor.KindState, "/p/long/"+id, "key"), acceptor.StateReported, reducer.StateRunning, 0},
+		{"anyone reads a job of a public queue", fakeDependencies{views: open}, call(acceptor.KindState, "/open/"+id, ""), acceptor.StateReported, reducer.StateRunning, 0},
+		{"anyone cancels a job of a public queue", fakeDependencies{views: open}, call(acceptor.KindCancel, "/open/"+id, ""), acceptor.Cancelled, "", 1},
 		{"counted", fakeDependencies{}, call(acceptor.KindState, "/p/", "key"), acceptor.PendingReported, "", 0},
 		{"an outdated count is not reported", fakeDependencies{tableAge: old}, call(acceptor.KindState, "/p/", "key"), acceptor.NotRun, "", 0},
 	} {
--- a/internal/workload/acceptor/calls.go
+++ b/internal/workload/acceptor/calls.go
@@ -86,6 +86,20 @@
 	Known     bool
 	Cancelled bool
 	State     reducer.State
+	// Workspace is the workspace of the caller that submitted the job, empty if it sent no key.
+	Workspace string
+	// Queue is the name of the job's queue, Public its policy when the job was accepted.
+	Queue  string
+	Public bool
 	// AsOf is the time up to which the ledger has been read completely.
 	AsOf time.Time
 }
+
+// visible reports whether a caller of a workspace may see the job through the queue of its call:
+// if the job is the workspace's own or nobody's, or if both queues are public.
+func (v JobView) visible(q describer.Queue, workspace string) bool {
+	if v.Workspace == "" || v.Workspace == workspace {
+		return true
+	}
+	return q.Public && (v.Public || v.Queue == q.Name)
+}
--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -219,6 +219,7 @@
 		v.AsOf = j.instance.asOf(m)
 		if job, known := m.Table.Lookup(id); known {
 			v.Known, v.Cancelled, v.State = true, job.Cancelled, job.State()
+			v.Workspace, v.Queue, v.Public = job.Job.Workspace, job.Job.Queue, job.Queue.Public
 		}
 	})
 	return v, ok
