product: limit the connections to the API and admin listeners

Cause: the product's own listeners had no limit of connections, and the API decoded bodies of up to 8 MB before it rejected callers without a token.

The body of a caller without a known token is not read. The peers' listener needs a certificate and is as it was.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -120,7 +120,14 @@
 	e := func(ctx context.Context, request any) (any, error) { return run(ctx, request.(Req)) }
 	server := kithttp.NewServer(
 		s.measure(operation)(s.requireIdentity(e)),
-		func(_ context.Context, r *http.Request) (any, error) { return decode(r) },
+		func(ctx context.Context, r *http.Request) (any, error) {
+			if _, failed := ctx.Value(identityKey{}).(authFailure); failed {
+				// requireIdentity rejects the request. Its body may be large and is not read.
+				var none Req
+				return none, nil
+			}
+			return decode(r)
+		},
 		func(_ context.Context, w http.ResponseWriter, response any) error {
 			replier.WriteJSON(w, http.StatusOK, response)
 			return nil
--- a/internal/product/assembler/assembler.go
+++ b/internal/product/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"daisyhead/internal/control/decider"
 	"daisyhead/internal/control/dispatcher"
 	"daisyhead/internal/entry/authenticator"
+	"daisyhead/internal/entry/gatekeeper"
 	"daisyhead/internal/entry/server"
 	"daisyhead/internal/ledger/recorder"
 	"daisyhead/internal/ledger/reducer"
@@ -61,6 +62,7 @@
 	loop           *decider.Loop
 	servers        []*http.Server
 	listeners      []net.Listener
+	gates          gatekeeper.Collectors
 
 	// view is the newest published copy of the control state.
 	view atomic.Pointer[decider.View]
@@ -98,6 +100,7 @@
 		return nil, err
 	}
 	i.registerMetrics()
+	i.meter.Add(i.gates)
 	return i, nil
 }
 
@@ -134,10 +137,10 @@
 		Claimer: &claimer.Claimer{Recorder: i, Reader: i, Writer: i.writer},
 	}
 	api := server.New(server.Config{Name: i.name, Control: i, Router: traffic, Authenticator: auth, Meter: i.meter})
-	if err := i.bindServer(i.settings.Listeners.API, api); err != nil {
+	if err := i.bindServer("API", i.settings.Listeners.API, api); err != nil {
 		return err
 	}
-	if err := i.bindServer(i.settings.Listeners.Admin, i.adminHandler()); err != nil {
+	if err := i.bindServer("Admin", i.settings.Listeners.Admin, i.adminHandler()); err != nil {
 		return err
 	}
 	i.messenger, err = messenger.Listen(messenger.Config{
@@ -147,11 +150,13 @@
 }
 
 // bindServer binds one TCP address and adds the HTTP server that Run starts on it.
-func (i *Instance) bindServer(l configurer.Listener, h http.Handler) (err error) {
+func (i *Instance) bindServer(name string, l configurer.Listener, h http.Handler) (err error) {
 	listener, err := net.Listen("tcp", l.Address)
 	if err != nil {
 		return err
 	}
+	gate := i.newGate(name, l.CertificateFile != "")
+	listener = gate.Listener(listener)
 	if l.CertificateFile != "" {
 		certificate, err := tls.LoadX509KeyPair(l.CertificateFile, l.KeyFile)
 		if err != nil {
@@ -160,9 +165,9 @@
 		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
 	}
 	i.listeners = append(i.listeners, listener)
-	i.servers = append(i.servers, &http.Server{
-		Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: i.settings.Limits.MaxHeaderBytes,
-	})
+	s := &http.Server{Handler: h}
+	gate.Protect(s)
+	i.servers = append(i.servers, s)
 	return nil
 }
 
--- a/internal/product/configurer/settings.go
+++ b/internal/product/configurer/settings.go
@@ -141,6 +141,8 @@
 	SnapshotRecords int
 	// MaxHeaderBytes limits the headers of a request to a TCP listener.
 	MaxHeaderBytes int
+	// MaxConnections limits the open connections to each TCP listener.
+	MaxConnections int
 	// MinionConnections limits the connections to one minion.
 	MinionConnections int
 }
@@ -172,7 +174,7 @@
 			LogWait: duration(500 * time.Millisecond), LogTimeout: duration(time.Second), SnapshotInterval: duration(5 * time.Minute),
 			ShutdownDelay: duration(2 * time.Second), ShutdownTimeout: duration(2 * time.Minute), ListInterval: duration(2 * time.Second),
 		},
-		Limits:  Limits{AppendsPerSecond: 8, AppendBurst: 16, RetriesPerSecond: 10, SnapshotRecords: 5000, MaxHeaderBytes: 64 << 10, MinionConnections: 16},
+		Limits:  Limits{AppendsPerSecond: 8, AppendBurst: 16, RetriesPerSecond: 10, SnapshotRecords: 5000, MaxHeaderBytes: 64 << 10, MaxConnections: 1000, MinionConnections: 16},
 		Logging: Logging{Access: true},
 	}
 }
--- a/internal/product/meter/meter.go
+++ b/internal/product/meter/meter.go
@@ -67,6 +67,9 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Add adds metrics that are read when metrics are collected.
+func (m *Meter) Add(c prometheus.Collector) { m.registry.MustRegister(c) }
+
 // AddCounter adds a counter that is read when metrics are collected.
 func (m *Meter) AddCounter(name, help string, read func() float64) {
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
