forwarder: a message that a peer refused unread is not in doubt

Cause: a peer whose listener has no room answers 503 without reading the message. The sender took any status but 200 as possibly executed, so the caller was told that its job may have been stored.

Change: after 503 and 413 the message counts as not sent. Peers give these only if they have done nothing with it.

--- a/internal/workload/forwarder/forwarder.go
+++ b/internal/workload/forwarder/forwarder.go
@@ -178,7 +178,7 @@
 }
 
 // post sends one message and decodes the reply. sent reports whether the peer may have
-// received the message.
+// received the message and acted on it.
 func (f *Forwarder) post(ctx context.Context, address, path string, msg, reply any) (sent bool, err error) {
 	var connected atomic.Bool
 	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -201,11 +201,17 @@
 		return true, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return true, errors.Newf("status %d", resp.StatusCode)
+		return !refusedUnread(resp.StatusCode), errors.Newf("status %d", resp.StatusCode)
 	}
 	return true, decoding.Unmarshal(body, reply)
 }
 
+// refusedUnread reports whether a peer responds with a status only if it has done nothing with
+// the message: it has no room for it, the message is too large, or the peer is shutting down.
+func refusedUnread(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusRequestEntityTooLarge
+}
+
 // YieldRequest is the body of a request to take over the term.
 type YieldRequest struct{ Term uint64 }
 
