gatekeeper: test that a request of a closed connection has no effect

A connection may be chosen to make room just as its head becomes complete. The test delivers a whole head after the connection was closed: the request must not be served.

--- a/internal/entry/gatekeeper/gatekeeper_test.go
+++ b/internal/entry/gatekeeper/gatekeeper_test.go
@@ -260,3 +260,78 @@
 		t.Errorf("status %d, want 200", got)
 	}
 }
+
+// lateHead is a connection that delivers a whole head once it has been closed, as if the head had
+// been read just before.
+type lateHead struct {
+	net.Conn
+	once   sync.Once
+	closed chan struct{}
+	head   *strings.Reader
+}
+
+func (c *lateHead) Read(p []byte) (int, error) {
+	<-c.closed
+	return c.head.Read(p)
+}
+
+func (c *lateHead) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (c *lateHead) Write(p []byte) (int, error) { return len(p), nil }
+
+func (c *lateHead) SetReadDeadline(time.Time) error { return nil }
+
+// scriptedListener returns the connections of a channel.
+type scriptedListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l scriptedListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// TestRequestOfClosedConnectionHasNoEffect guards against a submission that is executed although
+// its connection was closed to make room, so that its caller gets no response.
+func TestRequestOfClosedConnectionHasNoEffect(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	served := make(chan string, 2)
+	g := gatekeeper.New("Test", gatekeeper.Limits{Connections: 1}, nil)
+	h := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { served <- r.URL.Path })}
+	g.Protect(h)
+	conns := make(chan net.Conn)
+	go func() { _ = h.Serve(g.Listener(scriptedListener{listener, conns})) }()
+	defer h.Close()
+	newConn := func(path string) *lateHead {
+		raw, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { raw.Close() })
+		return &lateHead{Conn: raw, closed: make(chan struct{}), head: strings.NewReader("POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")}
+	}
+	first, second := newConn("/first"), newConn("/second")
+	second.Close()
+	conns <- first
+	conns <- second
+	if got := <-served; got != "/second" {
+		t.Errorf("%s was served", got)
+	}
+	select {
+	case got := <-served:
+		t.Errorf("%s was served too", got)
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(conns)
+}
