gatekeeper: limit the bodies that are received at a time

Cause: slow bodies took all connections of a listener. A request in progress is never closed to make room, so all other clients got 503.

Change: at most a quarter of the connections receive small bodies (up to 16 KB), or wait for memory for them, and as many large ones; others get 503 at once. A connection that got such a refusal, or that of a body that is too large, is closed first when there are too many. Small bodies have the time of a head.

--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -20,6 +21,12 @@
 	// memory to themselves, so that large ones that arrive slowly don't keep them out.
 	smallBody         = 16 << 10
 	smallShareDivisor = 4
+	// receivingDivisor is the part of the connections whose small, and whose large, bodies may be
+	// received at a time, minReceiving their least number.
+	receivingDivisor = 4
+	minReceiving     = 8
+	// unlimitedReceiving is the number of bodies without a limit of connections.
+	unlimitedReceiving = 1 << 20
 	// bodyWait is how long a request waits for memory. It is short beside the 3 s that callers
 	// usually wait for an answer.
 	bodyWait = 500 * time.Millisecond
@@ -29,12 +36,23 @@
 	retryAfterS = "1"
 )
 
-// bodyPool limits the memory of the requests with a body that are served at a time.
+// bodyPool limits the memory of the requests with a body that are served at a time, and the
+// number of bodies that are received at a time.
 type bodyPool struct {
 	// bodyBytes is the largest size of a body.
-	bodyBytes                int64
-	small, large             *semaphore.Weighted
-	smallMemory, largeMemory int64
+	bodyBytes    int64
+	small, large bodyClass
+}
+
+// bodyClass is the part of a bodyPool for small or for large bodies.
+type bodyClass struct {
+	memory *semaphore.Weighted
+	size   int64
+	// receiving has an element for each body that is received or waits for memory. Without a
+	// limit of these, slow bodies take all connections.
+	receiving chan struct{}
+	// timeout limits the time in which a body is received.
+	timeout time.Duration
 }
 
 // newBodyPool returns a pool, nil if there is no limit.
@@ -42,32 +60,53 @@
 	if l.BodyMemory <= 0 {
 		return nil
 	}
-	small := l.BodyMemory / smallShareDivisor
-	large := l.BodyMemory - small
-	return &bodyPool{
-		bodyBytes: l.BodyBytes, small: semaphore.NewWeighted(small), large: semaphore.NewWeighted(large),
-		smallMemory: small, largeMemory: large,
+	receiving := max(l.Connections/receivingDivisor, minReceiving)
+	if l.Connections == 0 {
+		receiving = unlimitedReceiving
 	}
+	class := func(size int64, timeout time.Duration) bodyClass {
+		return bodyClass{memory: semaphore.NewWeighted(size), size: size, timeout: timeout, receiving: make(chan struct{}, receiving)}
+	}
+	smallTimeout := l.BodyTimeout
+	if l.HeadTimeout > 0 {
+		// A small body is no larger than a head, and gets as much time.
+		smallTimeout = min(smallTimeout, l.HeadTimeout)
+	}
+	small := l.BodyMemory / smallShareDivisor
+	return &bodyPool{bodyBytes: l.BodyBytes, small: class(small, smallTimeout), large: class(l.BodyMemory-small, l.BodyTimeout)}
 }
 
-// acquire reserves memory for a body of the given size, -1 if it is unknown, and waits for that
-// for a short time. release must be called once the request is served.
-func (p *bodyPool) acquire(ctx context.Context, size int64) (release func(), ok bool) {
-	if size < 0 {
-		size = p.bodyBytes
+// classOf returns the class of a body of the given size, -1 if it is unknown, and its size at
+// most.
+func (p *bodyPool) classOf(size int64) (c *bodyClass, most int64) {
+	switch {
+	case size < 0:
+		return &p.large, p.bodyBytes
+	case size <= smallBody:
+		return &p.small, size
 	}
-	pool, memory := p.large, p.largeMemory
-	if size <= smallBody {
-		pool, memory = p.small, p.smallMemory
+	return &p.large, size
+}
+
+// acquire reserves a place among the bodies that are received, and memory for a body of the
+// given size, for which it waits for a short time. received must be called once the body is
+// received, release once the request is served.
+func (c *bodyClass) acquire(ctx context.Context, size int64) (received, release func(), ok bool) {
+	select {
+	case c.receiving <- struct{}{}:
+	default:
+		return nil, nil, false
 	}
+	received = sync.OnceFunc(func() { <-c.receiving })
 	// A single request is always served, also if it needs more than the whole pool.
-	cost := min(max(size*bodyCostFactor, minBodyCost), memory)
+	cost := min(max(size*bodyCostFactor, minBodyCost), c.size)
 	ctx, cancel := context.WithTimeout(ctx, bodyWait)
 	defer cancel()
-	if pool.Acquire(ctx, cost) != nil {
-		return nil, false
+	if c.memory.Acquire(ctx, cost) != nil {
+		received()
+		return nil, nil, false
 	}
-	return func() { pool.Release(cost) }, true
+	return received, func() { c.memory.Release(cost) }, true
 }
 
 // handler serves requests whose connection has not been closed in the meantime and whose body
@@ -89,65 +128,86 @@
 // serveBody serves a request with a body.
 func (g *Gatekeeper) serveBody(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	if g.limits.BodyBytes > 0 && r.ContentLength > g.limits.BodyBytes {
-		g.count(reasonBodyTooLong)
-		refuseBody(w, http.StatusRequestEntityTooLarge, "the body is too large")
+		g.refuseBody(w, r, http.StatusRequestEntityTooLarge, reasonBodyTooLong, "the body is too large")
 		return
 	}
+	body := &timedBody{ReadCloser: r.Body, control: http.NewResponseController(w), timeout: g.limits.BodyTimeout}
 	if g.bodies != nil {
-		release, ok := g.bodies.acquire(r.Context(), r.ContentLength)
+		class, size := g.bodies.classOf(r.ContentLength)
+		received, release, ok := class.acquire(r.Context(), size)
 		if !ok {
-			g.count(reasonBodyMemory)
 			w.Header().Set("Retry-After", retryAfterS)
-			refuseBody(w, http.StatusServiceUnavailable, "too many bodies are being received")
+			g.refuseBody(w, r, http.StatusServiceUnavailable, reasonBodyMemory, "too many bodies are being received")
 			return
 		}
 		defer release()
+		defer received()
+		body.received, body.timeout = received, class.timeout
 	}
-	control := http.NewResponseController(w)
-	if g.limits.BodyTimeout > 0 {
-		// Some kinds of response writers have no deadlines. They are not used on connections.
-		_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
-	}
-	body := &timedBody{ReadCloser: r.Body, control: control, limited: g.limits.BodyTimeout > 0}
+	body.start()
+	defer body.stop()
 	r.Body = body
 	if g.limits.BodyBytes > 0 {
 		r.Body = http.MaxBytesReader(w, body, g.limits.BodyBytes)
 	}
-	defer func() {
-		if !body.complete && body.limited {
-			_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
-		}
-	}()
 	h.ServeHTTP(w, r)
 }
 
-// refuseBody refuses a request without reading its body, and closes the connection.
-func refuseBody(w http.ResponseWriter, status int, reason string) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
+// refuseBody refuses a request without reading its body, and closes the connection. Once the
+// response is sent, the connection is one of those that are closed first.
+func (g *Gatekeeper) refuseBody(w http.ResponseWriter, r *http.Request, status int, reason, text string) {
+	g.count(reason)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
 	w.Header().Set("Connection", "close")
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// An error means that the client has closed the connection.
-	_ = json.NewEncoder(w).Encode(map[string]string{"error": reason})
+	_ = json.NewEncoder(w).Encode(map[string]string{"error": text})
+	_ = control.Flush()
+	if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
+		g.move(c, phaseIdle)
+	}
 }
 
 // timedBody is a body that must be received before a deadline. The deadline is removed at its
 // end, since the server would take it for the end of the connection.
 type timedBody struct {
 	io.ReadCloser
-	control  *http.ResponseController
-	limited  bool
+	control *http.ResponseController
+	// timeout limits the time in which the body is received, 0 means no limit.
+	timeout time.Duration
+	// received is called at the end of the body, if it is set.
+	received func()
 	complete bool
 }
 
+// start sets the deadline.
+func (b *timedBody) start() {
+	if b.timeout > 0 {
+		// Some kinds of response writers have no deadlines. They are not used on connections.
+		_ = b.control.SetReadDeadline(time.Now().Add(b.timeout))
+	}
+}
+
+// stop limits the time in which the server receives the rest of a body that was not read.
+func (b *timedBody) stop() {
+	if b.timeout > 0 && !b.complete {
+		_ = b.control.SetReadDeadline(time.Now().Add(discardTimeout))
+	}
+}
+
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(p)
 	if err == io.EOF && !b.complete {
 		b.complete = true
-		if b.limited {
+		if b.timeout > 0 {
 			_ = b.control.SetReadDeadline(time.Time{})
 		}
+		if b.received != nil {
+			b.received()
+		}
 	}
 	return n, err
 }
--- a/internal/entry/gatekeeper/gatekeeper_test.go
+++ b/internal/entry/gatekeeper/gatekeeper_test.go
@@ -220,8 +220,11 @@
 	if got := status(t, post(64<<10+1, "")); got != http.StatusRequestEntityTooLarge {
 		t.Errorf("a body over the limit got status %d, want 413", got)
 	}
+	s.await(t, "active", 0)
 	slow := post(64<<10, "x")
 	s.await(t, "active", 1)
+	// The memory is reserved shortly after the connection has become active.
+	time.Sleep(100 * time.Millisecond)
 	if got := status(t, post(64<<10, "")); got != http.StatusServiceUnavailable {
 		t.Errorf("a body without memory got status %d, want 503", got)
 	}
@@ -236,6 +239,40 @@
 	}
 }
 
+// TestSlowBodiesLeaveConnections guards against slow bodies that take all connections, or all
+// places of bodies of the other size.
+func TestSlowBodiesLeaveConnections(t *testing.T) {
+	s := start(t, gatekeeper.Limits{Connections: 12, BodyBytes: 64 << 10, BodyMemory: 16 << 20, HeadTimeout: 2 * time.Second, BodyTimeout: 10 * time.Second})
+	post := func(length int, body string) net.Conn {
+		return s.dial(t, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, body))
+	}
+	var slow []net.Conn
+	for range 8 {
+		slow = append(slow, post(10, "x"))
+	}
+	s.await(t, "active", 8)
+	time.Sleep(100 * time.Millisecond)
+	for range 12 {
+		if got := status(t, post(10, "x")); got != http.StatusServiceUnavailable {
+			t.Errorf("a small body beside slow ones got status %d, want 503", got)
+		}
+	}
+	if got := status(t, post(20<<10, strings.Repeat("x", 20<<10))); got != http.StatusOK {
+		t.Errorf("a large body beside slow small ones got status %d, want 200", got)
+	}
+	if got := status(t, s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")); got != http.StatusOK {
+		t.Errorf("a request beside slow bodies got status %d, want 200", got)
+	}
+	for _, c := range slow {
+		if got := status(t, c); got != http.StatusBadRequest {
+			t.Errorf("a slow small body got status %d, want 400", got)
+		}
+	}
+	if got := status(t, post(10, "0123456789")); got != http.StatusOK {
+		t.Errorf("a small body after the slow ones got status %d, want 200", got)
+	}
+}
+
 // TestLongAnswer guards against the time limit of a body that ends the request's context while
 // the request is served.
 func TestLongAnswer(t *testing.T) {
