--- a/internal/workload/acceptor/acceptor.go
+++ b/internal/workload/acceptor/acceptor.go
@@ -77,6 +77,9 @@
 	// LimitTolerance is the part of its limit by which a workspace may exceed it.
 	LimitTolerance float64
 
+	// MaxRecordBytes is the store's limit for one record, 0 for reducer.StoreRecordBytes.
+	MaxRecordBytes int
+
 	// servedVersion is the newest configuration version that calls to this instance have been
 	// answered with, here or by a peer.
 	servedVersion atomic.Uint64
@@ -195,9 +198,9 @@
 	case c.Kind == KindSubmit:
 		return a.submit(ctx, c, cfg, q, workspace, id)
 	case c.Kind == KindCancel:
-		return a.cancel(ctx, c, id)
+		return a.cancel(ctx, c, q, workspace, id)
 	}
-	return a.state(ctx, c, id)
+	return a.state(ctx, c, q, workspace, id)
 }
 
 // answerAdmitted reports the state of a job to a peer that has already checked the key. It
@@ -241,19 +244,34 @@
 		return a.forward(ctx, c, "the ledger is out of reach")
 	}
 	record := reducer.SubmissionRecord(reducer.Submission{Job: job, Queue: q, AcceptedMS: time.Now().UnixMilli()})
-	if record.Oversized() {
-		return Answer{Verdict: Invalid, Reason: "the job is too large"}
+	if err := a.checkSizes(job, record); err != nil {
+		return Answer{Verdict: Invalid, Reason: err.Error()}
 	}
 	answer := a.store(ctx, c, record, Accepted)
 	a.Reporter.Event("JobSubmitted", "Job", id, "Queue", q.Name, "Workspace", workspace, "Verdict", answer.Verdict, "TableAgeMS", time.Since(v.AsOf).Milliseconds())
 	return answer
 }
 
+// checkSizes returns an error if the store would refuse the job's record or that of one of its
+// units.
+func (a *Acceptor) checkSizes(job describer.Job, record reducer.Record) error {
+	limit := reducer.StoreRecordBytes
+	if a.MaxRecordBytes > 0 {
+		limit = min(limit, a.MaxRecordBytes)
+	}
+	if size := len(record.Key) + len(record.Value); record.Oversized() || size > limit {
+		return errors.Newf("the record of the job has %d bytes, at most %d are allowed", size, min(limit, reducer.MaxRecordBytes))
+	}
+	return reducer.CheckUnitSizes(job, limit)
+}
+
 // cancel stores a cancellation, unless the job is unknown or already cancelled.
-func (a *Acceptor) cancel(ctx context.Context, c Call, id string) Answer {
+func (a *Acceptor) cancel(ctx context.Context, c Call, q describer.Queue, workspace, id string) Answer {
 	asked := time.Now()
 	v := a.lookup(ctx, id)
 	switch {
+	case v.Known && !v.visible(q, workspace):
+		return Answer{Verdict: JobNotFound}
 	case v.Known && v.Cancelled:
 		return Answer{Verdict: Cancelled}
 	case !v.Known:
@@ -266,10 +284,12 @@
 
 // state reports the state of a job. A final state does not change any more, so it may come from
 // a table that is out of date.
-func (a *Acceptor) state(ctx context.Context, c Call, id string) Answer {
+func (a *Acceptor) state(ctx context.Context, c Call, q describer.Queue, workspace, id string) Answer {
 	asked := time.Now()
 	v := a.lookup(ctx, id)
 	switch {
+	case v.Known && !v.visible(q, workspace):
+		return Answer{Verdict: JobNotFound}
 	case v.Known && isFinal(v.State):
 		return Answer{Verdict: StateReported, State: v.State}
 	case v.Known:
--- a/internal/workload/assembler/export_test.go
+++ b/internal/workload/assembler/export_test.go
@@ -27,6 +27,7 @@
 	inst := New(Settings{Instance: "i"}, Dependencies{})
 	inst.status.holdsTerm.Store(true)
 	answer.RequestID = 1
+	go inst.loop.Run(ctx, discardDispatcher{})
 	go func() {
 		for ctx.Err() == nil {
 			inst.storer.deliver(answer)
@@ -35,3 +36,9 @@
 	}()
 	return inst.storer.Append(ctx, r)
 }
+
+// discardDispatcher drops the commands of a control loop that only has to answer inspections.
+type discardDispatcher struct{}
+
+// Dispatch implements scheduler.Dispatcher.
+func (discardDispatcher) Dispatch(scheduler.Command) {}
