Keep capacity for gangs that wait for several workers at once

Single tasks of a lower priority took each gap as it became free, so a gang that needs much memory on several workers never found all of it at once.

Only work that a pass comes to later is held back, and of that only what is not expected to end in time. Urgent and perpetual work is never held back, and nothing is stopped. The choice is kept from pass to pass until the gang is placed or ends, a worker leaves, a gang of a higher priority needs its turn, or most of the capacity is not free well after the expected time. At most half of a service's capacity is kept, for an expected wait of at most 30 s.

Workers with kept capacity don't become headroom, since the gang could not use them then. Placements against preferences see kept capacity only where the platform's rule on idle services requires it. StepWaits has the reason Backfill with the gangs' jobs; BackfillReserved and BackfillReleased are new.

--- a/internal/workload/scheduler/headroom.go
+++ b/internal/workload/scheduler/headroom.go
@@ -13,9 +13,9 @@
 // stopped.
 const headroomDivisor = 6
 
-// reserveHeadroom closes empty workers to all but urgent work. It takes those that are
-// not slow first, and them from as few racks as possible, so that a gang fits into one
-// rack.
+// reserveHeadroom closes empty workers to all but urgent work, except those with capacity
+// that is kept for a gang. It takes those that are not slow first, and them from as few racks
+// as possible, so that a gang fits into one rack.
 func (p *plan) reserveHeadroom() {
 	p.generalNodes = slices.Clone(p.nodes)
 	total := 0
@@ -27,7 +27,7 @@
 			p.idleAccelerators[p.workers[i].Service] += n.Free.Accelerators
 			p.openAccelerators[p.workers[i].Service] += n.Room.Accelerators
 		}
-		if !n.Closed && n.Free == n.Room {
+		if !n.Closed && n.Free == n.Room && !p.backfill.workers[i] {
 			empty = append(empty, i)
 			free[n.Rack] += n.Free.Accelerators
 		}
@@ -76,6 +76,13 @@
 		c.free.MemoryMB*100 > c.room.MemoryMB*idlePercent || p.acceleratorsIdle(service))
 }
 
+// entirelyIdle reports whether more than idlePercent of each resource of the service is free.
+func (p *plan) entirelyIdle(service string) bool {
+	c := p.capacity[service]
+	return c != nil && c.free.CPU*100 >= c.room.CPU*idlePercent &&
+		c.free.MemoryMB*100 >= c.room.MemoryMB*idlePercent && c.free.Accelerators*100 >= c.room.Accelerators*idlePercent
+}
+
 // acceleratorsIdle is idleEnough with the workers in quarantine.
 func (p *plan) acceleratorsIdle(service string) bool {
 	c := p.capacity[service]
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -230,6 +230,8 @@
 	// liveJobs lists the live jobs in the order of their acceptance.
 	liveJobs     []*job
 	reservations []*reservation
+	// backfills is the capacity that is kept for gangs, in the order of its choice.
+	backfills []*backfill
 	// unconfirmedCrashes are the units with crashes that may still turn out to be none.
 	unconfirmedCrashes []*unit
 	// pendingOutcomes holds this holder's outcomes that are not durable yet.
@@ -238,8 +240,9 @@
 	// did.
 	relays    int
 	relayedMS int64
-	// urgentSeenMS is when the latest urgent job was first seen.
-	urgentSeenMS int64
+	// jobSeenMS is when the latest job was first seen, urgentSeenMS when the latest urgent one
+	// was.
+	jobSeenMS, urgentSeenMS int64
 	// waitsReportedMS is when the steps that wait were last logged.
 	waitsReportedMS int64
 	// passNeeded is set when a change calls for a scheduling pass.
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -51,6 +51,8 @@
 	startBudget, relaxBudget int
 	// quarantined lists the workers that only their quarantine closes.
 	quarantined []int
+	// backfill is the capacity that is kept for gangs.
+	backfill backfillView
 }
 
 // reclaimableKey is the index of a worker, and whether it is for a unit that claims its place.
@@ -68,7 +70,9 @@
 	certain    bool
 	perpetual  bool
 	relaxation relaxation
-	request    packer.Request
+	// backfills is how many gangs' kept capacity the request may use.
+	backfills int
+	request   packer.Request
 }
 
 // appliesToAllUnits reports whether a failed placement of this unit means that no other
@@ -130,6 +134,7 @@
 			p.reserveHeadroom()
 		}
 		m.placeStep(p, c)
+		m.keepRoom(p, c)
 	}
 }
 
@@ -209,6 +214,7 @@
 			p.capacity[w.Service].add(n)
 		}
 	}
+	p.backfill = m.newBackfillView(p)
 	return p
 }
 
@@ -274,7 +280,7 @@
 // placeStep places as many of the step's waiting units as fit.
 func (m *Model) placeStep(p *plan, c candidate) {
 	r := requestFor(c.step, c.queue)
-	shape := requestShape{service: c.queue.Service, urgent: c.queue.Priority == 0, perpetual: c.step.spec.Perpetual, request: r}
+	shape := requestShape{service: c.queue.Service, urgent: c.queue.Priority == 0, perpetual: c.step.spec.Perpetual, backfills: m.usableBackfills(p, c.step, c.queue.Service), request: r}
 	if shape.urgent {
 		if first := c.step.firstWaiting(); first != nil {
 			shape.claims = m.claims(p, first)
@@ -427,8 +433,9 @@
 // step's own view and in the shared ones. Places holds one index for each task.
 func (p *plan) allocate(nodes []packer.Node, places []int, r packer.Request) {
 	for _, i := range places {
+		free := nodes[i].Free.Sub(r.Need)
 		p.setFree(i, p.nodes[i].Free.Sub(r.Need))
-		nodes[i].Free = p.nodes[i].Free
+		nodes[i].Free = free
 		nodes[i].StepTasks++
 		p.idleAccelerators[p.workers[i].Service] -= r.Need.Accelerators
 		c := p.capacity[p.workers[i].Service]
@@ -441,7 +448,7 @@
 	p.version++
 	p.nodes[i].Free = free
 	if p.generalNodes != nil {
-		p.generalNodes[i].Free = free
+		p.generalNodes[i].Free = free.Sub(p.backfill.kept[i])
 	}
 }
 
@@ -471,7 +478,7 @@
 func (m *Model) nodesFor(p *plan, s *step, q describer.Queue) []packer.Node {
 	// Perpetual tasks may use the headroom that is kept for urgent work.
 	if q.Priority > 0 && !s.spec.Perpetual {
-		return m.restrictNodes(p, p.generalNodes, s, q)
+		return m.restrictNodes(p, m.generalView(p, s, q.Service), s, q)
 	}
 	return m.restrictNodes(p, p.nodes, s, q)
 }
--- a/internal/workload/scheduler/relax.go
+++ b/internal/workload/scheduler/relax.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-
-	"daisyhead/internal/workload/packer"
-)
+import "daisyhead/internal/workload/packer"
 
 // relaxation is how much a placement may deviate from what the scheduler prefers; 0 is not
 // at all.
@@ -143,7 +139,7 @@
 // which the unit has failed, those with work that has to stop for it, and those in
 // quarantine are its last choice.
 func (m *Model) relaxedNodes(p *plan, c candidate, u *unit, level relaxation) []packer.Node {
-	nodes := slices.Clone(p.nodes)
+	nodes := m.relaxedView(p, c)
 	for _, id := range u.failedOn {
 		if i, ok := p.index[m.workers[id]]; ok {
 			nodes[i].Cost += retryPenalty
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -257,7 +257,7 @@
 	m.term.takenOverMS, m.term.renewedMS, m.term.renewals, m.term.yieldCount, m.term.staleSinceMS = m.now.MonoMS, m.now.MonoMS, 0, 0, 0
 	m.proposer = proposer{sequence: 1}
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations, m.endedJobs = map[string]*worker{}, nil, map[string]*job{}, nil, nil, nil
-	m.unconfirmedCrashes, m.lateStarts, m.unsettled = nil, nil, nil
+	m.unconfirmedCrashes, m.lateStarts, m.unsettled, m.backfills = nil, nil, nil, nil
 	clear(m.lateStartCounts)
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.event("TermTaken", "Term", m.term.number, "Offset", m.Table.Next, "Jobs", len(m.Table.Jobs))
@@ -274,7 +274,7 @@
 func (m *Model) stepDown(reason string) {
 	m.term.active = false
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations = map[string]*worker{}, nil, map[string]*job{}, nil, nil
-	m.unconfirmedCrashes, m.lateStarts, m.unsettled = nil, nil, nil
+	m.unconfirmedCrashes, m.lateStarts, m.unsettled, m.backfills = nil, nil, nil, nil
 	clear(m.lateStartCounts)
 	m.pendingOutcomes = map[string]*pendingOutcome{}
 	m.proposer = proposer{}
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -61,6 +61,8 @@
 	// failedOn are the workers on which tasks of the unit have failed.
 	failedOn    []string
 	reservation *reservation
+	// noBackfillUntilMS is the earliest time at which capacity may be kept for the unit again.
+	noBackfillUntilMS int64
 	// missedReservation is set once reserved capacity has not become free in time.
 	missedReservation bool
 	// stopReason is why the unit was last stopped.
--- a/internal/workload/scheduler/waits.go
+++ b/internal/workload/scheduler/waits.go
@@ -30,6 +30,8 @@
 	// waitTrial: it would fit where other work has just started that it must not join, since
 	// one of them is a suspect.
 	waitTrial = "Trial"
+	// waitBackfill: it would fit on capacity that is kept for a gang of a higher rank.
+	waitBackfill = "Backfill"
 	// waitFailedWorkers, waitHeadroom and waitRack: the step would fit on workers where
 	// it has failed, on the headroom for urgent work, or across racks.
 	waitFailedWorkers = "FailedWorkers"
@@ -55,6 +57,8 @@
 	tasks, rackTasks, headroomTasks int
 	// lateStarts describes the starts for which units of the step wait.
 	lateStarts []LateStartWait
+	// keptFor are the jobs of the gangs for which capacity is kept from the step.
+	keptFor []string
 }
 
 // LateStartWait describes in the log the wait for a start that may still be executed.
@@ -118,6 +122,12 @@
 		if len(w.lateStarts) > 0 {
 			fields = append(fields, "LateStarts", w.lateStarts)
 		}
+		if len(w.keptFor) > 0 {
+			fields = append(fields, "RoomKeptFor", w.keptFor)
+		}
+		if b := m.backfillOf(s.firstWaiting()); b != nil {
+			fields = append(fields, "RoomKeptOn", workerIDs(slices.Compact(slices.Clone(b.workers))), "RoomExpectedInMS", b.readyMS-m.now.MonoMS)
+		}
 		m.event("StepWaits", fields...)
 	}
 }
@@ -159,6 +169,8 @@
 	w.tasks, w.rackTasks = packer.CountTasks(nodes, r)
 	fitting, _ := packer.CountTasks(all, r)
 	w.headroomTasks = fitting - w.tasks
+	var left []packer.Node
+	left, w.keptFor = m.withoutKept(p, nodes, s, q)
 	w.lateStarts = m.lateStartWaits(s)
 	if first == nil {
 		if len(w.lateStarts) > 0 {
@@ -178,7 +190,8 @@
 		nodes   []packer.Node
 		request packer.Request
 	}{
-		{waitPass, m.isolate(p, m.excludeFailedWorkers(p, nodes, first, r), first, q.Priority == 0), r},
+		{waitPass, m.isolate(p, m.excludeFailedWorkers(p, left, first, r), first, q.Priority == 0), r},
+		{waitBackfill, m.isolate(p, m.excludeFailedWorkers(p, nodes, first, r), first, q.Priority == 0), r},
 		{waitTrial, m.excludeFailedWorkers(p, nodes, first, r), r},
 		{waitFailedWorkers, nodes, r},
 		{waitHeadroom, m.excludeFailedWorkers(p, all, first, r), r},
