Break ties between workers by the scarcest resource

Among workers with as many accelerators left, the packer took the first of the list. While memory is scarce and accelerators are idle, small tasks then broke up the free memory of one worker after the other.

The last tie-break is now what remains of the scarcest resource, if less than a quarter of it is free on the open workers. While nothing is scarce, and where accelerators are the scarcest, places are as before.

--- a/internal/workload/packer/packer.go
+++ b/internal/workload/packer/packer.go
@@ -49,6 +49,8 @@
 	MaxPerWorker int
 	// PreferSlow prefers slow nodes of equal cost instead of fast ones.
 	PreferSlow bool
+	// scarcest is set by Place.
+	scarcest scarceResource
 }
 
 // slowness returns the node's slowness if the request prefers fast nodes, or how fast the
@@ -72,6 +74,7 @@
 	if total < r.Count {
 		return nil, false
 	}
+	r.scarcest = findScarcest(nodes)
 	if r.PreferRack != "" {
 		if places, ok = placeBestFit(nodes, maxTasks, r, nodesInRack(nodes, r.PreferRack)); ok {
 			return places, true
@@ -213,7 +216,8 @@
 
 // placeBestFit assigns the tasks to the candidates: nodes with the lowest cost
 // first, then those of the preferred speed, then those that the tasks leave the fewest
-// accelerators on. This keeps entire workers free for tasks that need many accelerators.
+// accelerators on. This keeps entire workers free for tasks that need many accelerators. Ties
+// go to the node with the least left of the scarcest resource.
 func placeBestFit(nodes []Node, maxTasks []int, r Request, candidates []int) (places []int, ok bool) {
 	order := slices.DeleteFunc(slices.Clone(candidates), func(i int) bool { return maxTasks[i] == 0 })
 	slices.SortStableFunc(order, func(a, b int) int {
@@ -222,6 +226,7 @@
 			cmp.Compare(r.slowness(nodes[a]), r.slowness(nodes[b])),
 			cmp.Compare(leftoverAccelerators(nodes[a], maxTasks[a], r), leftoverAccelerators(nodes[b], maxTasks[b], r)),
 			cmp.Compare(nodes[a].Free.Accelerators, nodes[b].Free.Accelerators),
+			cmp.Compare(r.scarcest.leftover(nodes[a], maxTasks[a], r), r.scarcest.leftover(nodes[b], maxTasks[b], r)),
 		)
 	})
 	for _, i := range order {
