--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -22,6 +22,9 @@
 	ordersInFlight, ordersLimit      prometheus.Gauge
 	ordersQueued, ordersQueueAge     *prometheus.GaugeVec
 	ordersDroppedUnsent, passesPaced prometheus.Gauge
+
+	// Gauges of the capacity that is kept for gangs.
+	backfillGangs, backfillTasks, backfillReady prometheus.Gauge
 }
 
 func newMeter() *meter {
@@ -51,9 +54,13 @@
 		}, []string{"kind"}),
 		ordersDroppedUnsent: newGauge("daisyhead_orders_dropped_unsent", "Orders dropped since the start because they were no longer wanted when their turn came."),
 		passesPaced:         newGauge("daisyhead_passes_paced", "Scheduling passes since the start that were ended early because of queued starts."),
+		backfillGangs:       newGauge("daisyhead_backfill_gangs", "Gangs for which capacity is kept until they fit."),
+		backfillTasks:       newGauge("daisyhead_backfill_tasks", "Tasks of the gangs for which capacity is kept."),
+		backfillReady:       newGauge("daisyhead_backfill_ready_seconds", "Longest time until one of these gangs is expected to fit; negative if it is overdue."),
 	}
 	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
-		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced)
+		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced,
+		m.backfillGangs, m.backfillTasks, m.backfillReady)
 	return m
 }
 
@@ -73,6 +80,13 @@
 	}
 }
 
+// setBackfillStats sets the gauges of the capacity that is kept for gangs.
+func (m *meter) setBackfillStats(s scheduler.BackfillStats) {
+	m.backfillGangs.Set(float64(s.Gangs))
+	m.backfillTasks.Set(float64(s.Tasks))
+	m.backfillReady.Set(float64(s.LatestReadyInMS) / 1000)
+}
+
 func (m *meter) countOrder(kind string, result scheduler.OrderResult) {
 	m.orders.WithLabelValues(kind, string(result)).Inc()
 }
--- a/internal/workload/backfiller/backfiller.go
+++ b/internal/workload/backfiller/backfiller.go
@@ -27,7 +27,7 @@
 type Input struct {
 	Nodes []packer.Node
 	// Releases returns what becomes free on a node, in any order. It is called for nodes
-	// that are open and can't take all tasks at once.
+	// that are open and can't take all tasks at once. Choose sorts the result in place.
 	Releases func(node int) []Release
 	Request  packer.Request
 	// WithinMS is the longest time after which capacity counts.
@@ -99,7 +99,8 @@
 	if tasks >= in.Request.Count {
 		return slots
 	}
-	releases := slices.SortedStableFunc(slices.Values(in.Releases(node)), func(a, b Release) int { return cmp.Compare(a.InMS, b.InMS) })
+	releases := in.Releases(node)
+	slices.SortStableFunc(releases, func(a, b Release) int { return cmp.Compare(a.InMS, b.InMS) })
 	for _, r := range releases {
 		if r.InMS > in.WithinMS {
 			break
--- a/internal/workload/backfiller/backfiller_test.go
+++ b/internal/workload/backfiller/backfiller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -37,7 +38,7 @@
 
 func (f *fixture) choose(r packer.Request) (backfiller.Choice, bool) {
 	return backfiller.Choose(backfiller.Input{
-		Nodes: f.nodes, Releases: func(i int) []backfiller.Release { return f.releases[i] }, Request: r, WithinMS: 10000,
+		Nodes: f.nodes, Releases: func(i int) []backfiller.Release { return slices.Clone(f.releases[i]) }, Request: r, WithinMS: 10000,
 	})
 }
 
--- a/internal/workload/scheduler/backfill.go
+++ b/internal/workload/scheduler/backfill.go
@@ -40,8 +40,6 @@
 	// choices of workers for one gang.
 	backfillPauseMS = 3000
 	backfillRetryMS = 500
-	// backfillTries is how often a pass may choose workers.
-	backfillTries = 2
 	// backfillEstimateFactor times its estimate is the time in which work of a lower rank is
 	// expected to end. Estimates are rough: most tasks take up to twice as long.
 	backfillEstimateFactor = 2
@@ -70,8 +68,9 @@
 	// of each worker.
 	applied []*backfill
 	kept    map[int]describer.Resources
-	// tries is how often the pass may still choose workers.
-	tries int
+	// chosen is set once the pass has chosen workers, which it does for one gang at most: in a
+	// full fleet of 1,100 workers a choice takes 0.8 ms, the rest of a pass 3.8 ms.
+	chosen bool
 	// unitEndMS caches the expected end of gangs.
 	unitEndMS map[*unit]int64
 }
@@ -79,7 +78,7 @@
 // newBackfillView removes the backfills that no longer hold, and returns the rest as a pass
 // sees it before it comes to the first gang.
 func (m *Model) newBackfillView(p *plan) backfillView {
-	v := backfillView{workers: map[int]bool{}, kept: map[int]describer.Resources{}, tries: backfillTries, unitEndMS: map[*unit]int64{}}
+	v := backfillView{workers: map[int]bool{}, kept: map[int]describer.Resources{}, unitEndMS: map[*unit]int64{}}
 	m.backfills = slices.DeleteFunc(m.backfills, func(b *backfill) bool {
 		reason := m.backfillEnd(p, b)
 		if reason != "" {
@@ -164,7 +163,7 @@
 // newBackfill chooses the workers for a gang, or returns nil if it is not its turn or nothing
 // fits within the bounds. A gang whose job can earn no credit any more gets none.
 func (m *Model) newBackfill(p *plan, c candidate, u *unit) *backfill {
-	if c.key.Expired || m.now.MonoMS < u.noBackfillUntilMS || p.backfill.tries <= 0 {
+	if c.key.Expired || m.now.MonoMS < u.noBackfillUntilMS || p.backfill.chosen {
 		return nil
 	}
 	outranked, ok := m.backfillTurn(c)
@@ -175,7 +174,7 @@
 	if !m.withinBackfillLimit(p, c.queue.Service, r, outranked) {
 		return nil
 	}
-	p.backfill.tries--
+	p.backfill.chosen = true
 	u.noBackfillUntilMS = m.now.MonoMS + backfillRetryMS
 	nodes := m.excludeFailedWorkers(p, m.restrictNodes(p, p.generalNodes, c.step, c.queue), u, r)
 	choice, ok := backfiller.Choose(backfiller.Input{
@@ -360,16 +359,19 @@
 type BackfillStats struct {
 	// Gangs is the number of gangs for which capacity is kept, Tasks that of their tasks.
 	Gangs, Tasks int
-	// LatestReadyInMS is the longest time until one of the gangs is expected to fit.
+	// LatestReadyInMS is the longest time until one of the gangs is expected to fit, negative if
+	// that time has passed for all of them.
 	LatestReadyInMS int64
 }
 
 // BackfillStats returns statistics for metrics.
 func (m *Model) BackfillStats() (s BackfillStats) {
-	for _, b := range m.backfills {
+	for i, b := range m.backfills {
 		s.Gangs++
 		s.Tasks += b.request.Count
-		s.LatestReadyInMS = max(s.LatestReadyInMS, b.readyMS-m.now.MonoMS)
+		if readyInMS := b.readyMS - m.now.MonoMS; i == 0 || readyInMS > s.LatestReadyInMS {
+			s.LatestReadyInMS = readyInMS
+		}
 	}
 	return s
 }
