Bound how long kept capacity delays work in an idle service

Work that fits twice over while its service is idle must start within 3 s.

The view has the kept capacity again, at a cost, so that such places are the last choice. The time counts on, and only the placement waits while urgent jobs come and not all resources are idle.

The tests of the kept capacity submit an urgent job each second, since without urgent jobs the rule on idle services wins.

--- a/internal/workload/scheduler/backfill.go
+++ b/internal/workload/scheduler/backfill.go
@@ -313,25 +313,44 @@
 	return nodes
 }
 
-// relaxedView returns a copy of the nodes for a placement against preferences: without the
-// capacity that is kept for gangs, unless the step may use it. The platform requires that work
-// that fits twice over starts within 3 s while less than half of each resource is in use, and
-// after the end of the traffic while less than half of any is; then nothing is kept.
-func (m *Model) relaxedView(p *plan, c candidate) []packer.Node {
-	nodes := slices.Clone(p.nodes)
-	if c.queue.Priority == 0 || c.step.spec.Perpetual || p.entirelyIdle(c.queue.Service) || m.now.MonoMS-m.jobSeenMS >= urgentPauseMS {
-		return nodes
+// keptFrom returns what is kept from the step on each worker, nil if nothing is.
+func (m *Model) keptFrom(p *plan, s *step, q describer.Queue) (kept map[int]describer.Resources) {
+	if q.Priority == 0 || s.spec.Perpetual {
+		return nil
 	}
 	for _, b := range p.backfill.applied {
-		if b.service != c.queue.Service || m.mayUse(b, c.step) {
+		if b.service != q.Service || m.mayUse(b, s) {
 			continue
 		}
 		for _, w := range b.workers {
+			if kept == nil {
+				kept = map[int]describer.Resources{}
+			}
 			i := p.index[w]
-			nodes[i].Free = nodes[i].Free.Sub(b.request.Need)
+			kept[i] = kept[i].Add(b.request.Need)
 		}
 	}
-	return nodes
+	return kept
+}
+
+// backfillsSpared reports whether a placement against preferences leaves free what is kept for
+// gangs, or need not. The platform requires that work that fits twice over starts within 3 s while less
+// than half of each resource is in use, and while less than half of any is if no urgent jobs come.
+func (m *Model) backfillsSpared(p *plan, c candidate, places []int) bool {
+	kept := m.keptFrom(p, c.step, c.queue)
+	if kept == nil || p.entirelyIdle(c.queue.Service) || m.now.MonoMS-m.urgentSeenMS >= urgentPauseMS {
+		return true
+	}
+	used := map[int]describer.Resources{}
+	for _, i := range places {
+		used[i] = used[i].Add(c.step.spec.Reserved())
+	}
+	for i, u := range used {
+		if k, isKept := kept[i]; isKept && !p.nodes[i].Free.Fits(u.Add(k)) {
+			return false
+		}
+	}
+	return true
 }
 
 // withoutKept returns the nodes without the capacity that is kept for gangs of a higher rank and
--- a/internal/workload/scheduler/backfill_test.go
+++ b/internal/workload/scheduler/backfill_test.go
@@ -18,7 +18,8 @@
 }
 
 // newFullFleet returns a fleet of two racks of four workers that small tasks keep full: whenever
-// one ends, the next one takes its memory.
+// one ends, the next one takes its memory. Urgent jobs keep coming, so that the service does not
+// count as idle because of its processors.
 func newFullFleet(t *testing.T, untilMS, taskMS int64) *simulation {
 	t.Helper()
 	sim := newSimulation(t, 1, 3)
@@ -32,10 +33,20 @@
 			sim.submit("batch", "b", fmt.Sprintf("ba%014x", n), small)
 		})
 	}
+	sim.submitUrgentTrickle(untilMS)
 	sim.run(6000)
 	return sim
 }
 
+// submitUrgentTrickle submits a tiny urgent job each second.
+func (sim *simulation) submitUrgentTrickle(untilMS int64) {
+	for n := range untilMS / 1000 {
+		tiny := independentTasks(1, 0, 200)
+		tiny.Need.MemoryMB = 100
+		sim.after(n*1000, func() { sim.submit("urgent", "a", fmt.Sprintf("ca%014x", n), tiny) })
+	}
+}
+
 // backfillEvents collects the events of backfills.
 func (sim *simulation) backfillEvents() *[]scheduler.EventCmd {
 	var events []scheduler.EventCmd
@@ -193,9 +204,7 @@
 	sim.submit("render", "a", jobA, memoryGang(2, true, 2000))
 	sim.run(5500)
 	reports := sim.waitReports()
-	for n := range int64(20) {
-		sim.after(n*500, func() { sim.submit("batch", "b", fmt.Sprintf("ba%014x", n), independentTasks(1, 0, 500)) })
-	}
+	sim.submitUrgentTrickle(10000)
 	small := independentTasks(1, 8, 12000)
 	small.Need.MemoryMB = 65000
 	sim.submit("batch", "b", "cccccccccccccccc", small)
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -120,7 +120,6 @@
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
-	m.jobSeenMS = m.now.MonoMS
 	if m.queue(j).Priority == 0 {
 		m.urgentSeenMS = m.now.MonoMS
 	}
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -240,9 +240,8 @@
 	// did.
 	relays    int
 	relayedMS int64
-	// jobSeenMS is when the latest job was first seen, urgentSeenMS when the latest urgent one
-	// was.
-	jobSeenMS, urgentSeenMS int64
+	// urgentSeenMS is when the latest urgent job was first seen.
+	urgentSeenMS int64
 	// waitsReportedMS is when the steps that wait were last logged.
 	waitsReportedMS int64
 	// passNeeded is set when a change calls for a scheduling pass.
--- a/internal/workload/scheduler/relax.go
+++ b/internal/workload/scheduler/relax.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "daisyhead/internal/workload/packer"
+import (
+	"slices"
+
+	"daisyhead/internal/workload/packer"
+)
 
 // relaxation is how much a placement may deviate from what the scheduler prefers; 0 is not
 // at all.
@@ -58,6 +62,8 @@
 	retryPenalty = 2 * failurePenalty
 	// quarantinePenalty is that of a worker in quarantine.
 	quarantinePenalty = 2 * retryPenalty
+	// keptPenalty is that of a worker with capacity that is kept for a gang.
+	keptPenalty = 2 * quarantinePenalty
 )
 
 // mayRelax reports whether units of the shape may be placed against their preferences.
@@ -102,7 +108,7 @@
 		// The time since the unit's last end keeps one that fails at once from being
 		// started again and again.
 		waitedMS := m.now.MonoMS - max(s.relaxable[level].sinceMS, u.stateSinceMS)
-		if ok && waitedMS >= relaxAfterMS[level] && m.headroomSpared(p, shape) {
+		if ok && waitedMS >= relaxAfterMS[level] && m.headroomSpared(p, shape) && m.backfillsSpared(p, c, places) {
 			m.event("UnitRelaxed", "Job", u.id.Job, "Unit", u.id.String(), "Relaxation", level.String(), "WaitedMS", waitedMS)
 			return places, true
 		}
@@ -136,15 +142,18 @@
 }
 
 // relaxedNodes returns the nodes as the step sees them with the relaxation. The workers on
-// which the unit has failed, those with work that has to stop for it, and those in
-// quarantine are its last choice.
+// which the unit has failed, those with work that has to stop for it, those in quarantine
+// and those with capacity that is kept for a gang are its last choice.
 func (m *Model) relaxedNodes(p *plan, c candidate, u *unit, level relaxation) []packer.Node {
-	nodes := m.relaxedView(p, c)
+	nodes := slices.Clone(p.nodes)
 	for _, id := range u.failedOn {
 		if i, ok := p.index[m.workers[id]]; ok {
 			nodes[i].Cost += retryPenalty
 		}
 	}
+	for i := range m.keptFrom(p, c.step, c.queue) {
+		nodes[i].Cost += keptPenalty
+	}
 	if level >= relaxQuarantine {
 		for _, i := range p.quarantined {
 			nodes[i].Closed = false
