Merge backfill reservations for gangs

Cause: single tasks of a lower priority take each gap, so a gang that needs much memory at once never finds its capacity free.

--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -29,6 +29,9 @@
 	// Counters of the order under scarcity.
 	jobsDelayed, jobsRefused *prometheus.CounterVec
 	queueStats               scheduler.QueueStats
+
+	// Gauges of the capacity that is kept for gangs.
+	backfillGangs, backfillTasks, backfillReady prometheus.Gauge
 }
 
 func newMeter() *meter {
@@ -64,6 +67,9 @@
 		workspaceLimit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "daisyhead_workspace_limit", Help: "Limit of each workspace, at the holder. Resources without a limit are left out.",
 		}, workspaceLabels),
+		backfillGangs: newGauge("daisyhead_backfill_gangs", "Gangs for which capacity is kept until they fit."),
+		backfillTasks: newGauge("daisyhead_backfill_tasks", "Tasks of the gangs for which capacity is kept."),
+		backfillReady: newGauge("daisyhead_backfill_ready_seconds", "Longest time until one of these gangs is expected to fit; negative if it is overdue."),
 	}
 	m.jobsDelayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "daisyhead_jobs_delayed_total", Help: "Jobs that this instance, as the holder, has put behind others for lack of capacity, by reason.",
@@ -72,7 +78,8 @@
 		Name: "daisyhead_jobs_refused_total", Help: "Jobs that this instance, as the holder, has refused for lack of capacity, by reason.",
 	}, []string{"reason"})
 	m.registry.MustRegister(m.jobsDelayed, m.jobsRefused, m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
-		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced, m.workspaceUse, m.workspaceLimit)
+		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced, m.workspaceUse, m.workspaceLimit,
+		m.backfillGangs, m.backfillTasks, m.backfillReady)
 	return m
 }
 
@@ -128,6 +135,13 @@
 	m.queueStats = s
 }
 
+// setBackfillStats sets the gauges of the capacity that is kept for gangs.
+func (m *meter) setBackfillStats(s scheduler.BackfillStats) {
+	m.backfillGangs.Set(float64(s.Gangs))
+	m.backfillTasks.Set(float64(s.Tasks))
+	m.backfillReady.Set(float64(s.LatestReadyInMS) / 1000)
+}
+
 func (m *meter) countOrder(kind string, result scheduler.OrderResult) {
 	m.orders.WithLabelValues(kind, string(result)).Inc()
 }
--- a/internal/workload/assembler/startup.go
+++ b/internal/workload/assembler/startup.go
@@ -124,6 +124,7 @@
 			inst.meter.setOrderStats(m.OrderStats())
 			inst.meter.setWorkspaceUses(m.WorkspaceUses())
 			inst.meter.setQueueStats(m.QueueStats())
+			inst.meter.setBackfillStats(m.BackfillStats())
 			for _, registered := range m.Table.Instances {
 				peers[registered.Address] = true
 			}
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -248,6 +248,8 @@
 	// liveJobs lists the live jobs in the order of their acceptance.
 	liveJobs     []*job
 	reservations []*reservation
+	// backfills is the capacity that is kept for gangs, in the order of its choice.
+	backfills []*backfill
 	// unconfirmedCrashes are the units with crashes that may still turn out to be none.
 	unconfirmedCrashes []*unit
 	// pendingOutcomes holds this holder's outcomes that are not durable yet.
--- a/internal/workload/scheduler/waits.go
+++ b/internal/workload/scheduler/waits.go
@@ -30,6 +30,8 @@
 	// waitTrial: it would fit where other work has just started that it must not join, since
 	// one of them is a suspect.
 	waitTrial = "Trial"
+	// waitBackfill: it would fit on capacity that is kept for a gang of a higher rank.
+	waitBackfill = "Backfill"
 	// waitFailedWorkers, waitHeadroom and waitRack: the step would fit on workers where
 	// it has failed, on the headroom for urgent work, or across racks.
 	waitFailedWorkers = "FailedWorkers"
@@ -57,6 +59,8 @@
 	lateStarts []LateStartWait
 	// limit are the fields that explain a wait for the limit of the workspace.
 	limit []any
+	// keptFor are the jobs of the gangs for which capacity is kept from the step.
+	keptFor []string
 }
 
 // LateStartWait describes in the log the wait for a start that may still be executed.
@@ -123,6 +127,12 @@
 		if place := s.occurrence.place; place.before != "" {
 			fields = append(fields, "Position", place.position, "After", place.before, "AheadMS", place.aheadMS, "Class", place.class.String())
 		}
+		if len(w.keptFor) > 0 {
+			fields = append(fields, "RoomKeptFor", w.keptFor)
+		}
+		if b := m.backfillOf(s.firstWaiting()); b != nil {
+			fields = append(fields, "RoomKeptOn", workerIDs(slices.Compact(slices.Clone(b.workers))), "RoomExpectedInMS", b.readyMS-m.now.MonoMS)
+		}
 		m.event("StepWaits", append(fields, w.limit...)...)
 	}
 }
@@ -164,6 +174,8 @@
 	w.tasks, w.rackTasks = packer.CountTasks(nodes, r)
 	fitting, _ := packer.CountTasks(all, r)
 	w.headroomTasks = fitting - w.tasks
+	var left []packer.Node
+	left, w.keptFor = m.withoutKept(p, nodes, s, q)
 	w.lateStarts = m.lateStartWaits(s)
 	if first == nil {
 		if len(w.lateStarts) > 0 {
@@ -190,7 +202,8 @@
 		nodes   []packer.Node
 		request packer.Request
 	}{
-		{waitPass, m.isolate(p, m.excludeFailedWorkers(p, nodes, first, r), first, q.Priority == 0), r},
+		{waitPass, m.isolate(p, m.excludeFailedWorkers(p, left, first, r), first, q.Priority == 0), r},
+		{waitBackfill, m.isolate(p, m.excludeFailedWorkers(p, nodes, first, r), first, q.Priority == 0), r},
 		{waitTrial, m.excludeFailedWorkers(p, nodes, first, r), r},
 		{waitFailedWorkers, nodes, r},
 		{waitHeadroom, m.excludeFailedWorkers(p, all, first, r), r},
