workload: compare workers only with others, and avoid unknown ones

Cause: several tasks of a gang on one worker counted as independent samples. They agree with each other, so a pair of slow workers passed for known ordinary ones. A single gang with a member held up by a fault could also distinguish equal workers for a moment. Urgent gangs with one member of unknown speed took more unknown ones, since these had the same level. An urgent unit could keep off free slow workers while one reservation after the other ran out.

Change: the tasks of one worker count as one sample of a gang, and are left out of the median that they are compared with. The fleet counts as equal until there is the evidence of two or three gangs. Urgent gangs take as few workers of unknown speed as possible. Keeping off free slow workers ends after 1 s or half of the reclaim time, and what was expected to end soon and did not is no reason to wait again.

--- a/internal/workload/calibrator/calibrator.go
+++ b/internal/workload/calibrator/calibrator.go
@@ -32,11 +32,18 @@
 	// learningDeviation is the spread of the workers that is assumed while samples are
 	// added. It is broad, so that nothing is concluded from workers that are not known.
 	learningDeviation = 0.3
+	// maxOwnDivisor is the part of a step's tasks from which on those of a worker are left out
+	// of the median that they are compared with.
+	maxOwnDivisor = 8
 	// minGangNoise and minTaskNoise are the least noise of a sample. Reports are in whole
 	// percent and late by some milliseconds; independent tasks differ by themselves.
 	minGangNoise = 0.03
 	minTaskNoise = 0.12
 	maxTaskNoise = 0.6
+	// usualTaskNoise counts for as many tasks when the noise of a step is estimated: a few
+	// tasks may agree by chance.
+	usualTaskNoise = 0.25
+	usualTasks     = 2
 	// tailWeight is the number of degrees of freedom of the noise: the fewer, the less
 	// samples count that are far from what is expected.
 	tailWeight = 4
@@ -65,6 +72,9 @@
 	// gang with a member that a fault has slowed down then distinguishes nobody.
 	equalWorkers = 2
 	maxExcess    = 0.2
+	// minEvidence is the least evidence on the spread, in well known workers: two or three
+	// gangs of four, of which not all can have met a fault.
+	minEvidence = 1.0
 	// outlierSamples, outlierDeviations and minOutlier are the evidence from which on one
 	// worker counts as different although the others are equal.
 	outlierSamples    = 8
@@ -141,23 +151,41 @@
 	return observations
 }
 
-// AddGang compares the members of one run of a gang with each other. Fewer than two are
-// ignored.
+// observeWorkers merges the samples of each worker: those of one run of a gang tell nothing
+// new of its worker.
+func (c *Calibrator) observeWorkers(samples []Sample) (merged []observation) {
+	index, count := map[string]int{}, []float64{}
+	for _, o := range c.observe(samples) {
+		i, known := index[o.worker]
+		if !known {
+			index[o.worker] = len(merged)
+			merged, count = append(merged, o), append(count, 1)
+			continue
+		}
+		count[i]++
+		merged[i].log += (o.log - merged[i].log) / count[i]
+		merged[i].noise = min(merged[i].noise, o.noise)
+	}
+	return merged
+}
+
+// AddGang compares the members of one run of a gang with each other. A gang on a single worker
+// is ignored.
 func (c *Calibrator) AddGang(samples []Sample) {
-	if len(samples) < 2 {
+	observations := c.observeWorkers(samples)
+	if len(observations) < 2 {
 		return
 	}
-	observations := c.observe(samples)
-	works := make([]float64, len(samples))
+	works := make([]float64, len(observations))
 	for i, o := range observations {
 		works[i] = o.work()
 	}
 	center, limit := median(works), maxDifference
-	if len(samples) == 2 {
+	if len(observations) == 2 {
 		// The median lies in the middle between the two.
 		limit /= 2
 	}
-	weights, total, sum := make([]float64, len(samples)), 0.0, 0.0
+	weights, total, sum := make([]float64, len(observations)), 0.0, 0.0
 	for i, o := range observations {
 		if math.Abs(works[i]-center) > limit {
 			continue
@@ -183,25 +211,53 @@
 		return
 	}
 	observations := c.observe(samples)
-	works := make([]float64, len(observations))
-	variance := 0.0
+	works, tasks, variance := make([]float64, len(observations)), map[string]int{}, 0.0
 	for i, o := range observations {
 		works[i] = o.work()
-		variance += o.variance / float64(len(samples))
+		if tasks[o.worker]++; tasks[o.worker] == 1 {
+			variance += o.variance
+		}
 	}
+	variance /= float64(len(tasks))
 	center := median(works)
+	deviations := make([]float64, len(works))
 	for i := range works {
-		works[i] = math.Abs(works[i] - center)
+		deviations[i] = math.Abs(works[i] - center)
 	}
 	// The deviation of a normal distribution is 1.48 times its median absolute deviation.
 	// What is not known of the workers is part of that.
-	deviation := 1.48 * median(works)
-	noise := min(max(math.Sqrt(max(deviation*deviation-variance, 0)), minTaskNoise), maxTaskNoise)
+	deviation := 1.48 * median(deviations)
+	n := float64(len(works))
+	noise := math.Sqrt((n*max(deviation*deviation-variance, 0) + usualTasks*usualTaskNoise*usualTaskNoise) / (n + usualTasks))
+	noise = min(max(noise, minTaskNoise), maxTaskNoise)
+	centers := map[string]float64{}
 	for _, o := range observations {
+		others := len(works) - tasks[o.worker]
+		if others < minTasks-1 {
+			continue
+		}
+		reference := center
+		if tasks[o.worker]*maxOwnDivisor > len(works) {
+			if _, known := centers[o.worker]; !known {
+				centers[o.worker] = centerOfOthers(observations, o.worker)
+			}
+			reference = centers[o.worker]
+		}
 		o.noise = noise
 		// A median is less exact than a mean by a factor of pi/2.
-		c.update(o, center, math.Pi/2*(noise*noise+variance)/float64(len(samples)))
+		c.update(o, reference, math.Pi/2*(noise*noise/float64(others)+variance/float64(len(tasks)-1)))
+	}
+}
+
+// centerOfOthers returns the median work of the tasks on other workers.
+func centerOfOthers(observations []observation, worker string) float64 {
+	var works []float64
+	for _, o := range observations {
+		if o.worker != worker {
+			works = append(works, o.work())
+		}
 	}
+	return median(works)
 }
 
 // update adds a sample to the evidence on its worker. Work is the logarithm of how long the
@@ -284,7 +340,7 @@
 		sum += e.weight * e.variance
 		weights += e.weight
 	}
-	if spread := math.Sqrt(max(sum/weights, 0)); spread >= minSpread {
+	if spread := math.Sqrt(max(sum/weights, 0)); spread >= minSpread && weights-equalWorkers >= minEvidence {
 		return spread
 	}
 	return 0
--- a/internal/workload/calibrator/speeds_test.go
+++ b/internal/workload/calibrator/speeds_test.go
@@ -165,3 +165,25 @@
 		}
 	}
 }
+
+// TestTasksOfOneWorkerSayNothing runs gangs with two tasks on each of two slow workers. The
+// tasks of one worker agree with each other, which must not pass for evidence that the worker
+// is an ordinary one.
+func TestTasksOfOneWorkerSayNothing(t *testing.T) {
+	f := newFleet(20, 1.6, 1.6, 1, 1, 0.6)
+	var c calibrator.Calibrator
+	for range 40 {
+		c.AddGang(f.gang(0.04, f.rng.Perm(20)[:4]...))
+	}
+	var fresh calibrator.Calibrator
+	fresh.AddGang(f.gang(0.04, 0, 0, 0, 0))
+	fresh.AddGang(f.gang(0.04, 0, 0, 1, 1))
+	if fresh.Known("w0") || fresh.Known("w1") {
+		t.Error("workers that were compared only with each other count as known")
+	}
+	c.Forget("w0")
+	c.AddGang(f.gang(0.04, 0, 0, 2, 2))
+	if got := c.Level("w0") - c.Level("w2"); got < 2 {
+		t.Errorf("a slow worker is %d levels above a known ordinary one, want at least 2", got)
+	}
+}
--- a/internal/workload/packer/packer.go
+++ b/internal/workload/packer/packer.go
@@ -30,6 +30,8 @@
 	// Slowness is 0 for a node of ordinary speed, above 0 for a slower one, and below 0
 	// for a faster one. It orders nodes of equal cost.
 	Slowness int
+	// Unknown is set if the node may be slower or faster than Slowness tells.
+	Unknown bool
 }
 
 // Request describes tasks that are placed together, or not at all.
@@ -51,6 +53,8 @@
 	Speed Speed
 	// MaxSlowness excludes slower nodes; 0 means no restriction.
 	MaxSlowness int
+	// knownFirst prefers nodes of known speed.
+	knownFirst bool
 }
 
 // Place returns the index in nodes that each task is assigned to. It returns
@@ -203,6 +207,7 @@
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(nodes[a].Cost, nodes[b].Cost),
+			r.compareUnknown(nodes[a], nodes[b]),
 			r.Speed.compare(nodes[a].Slowness, nodes[b].Slowness),
 			cmp.Compare(leftoverAccelerators(nodes[a], maxTasks[a], r), leftoverAccelerators(nodes[b], maxTasks[b], r)),
 			cmp.Compare(nodes[a].Free.Accelerators, nodes[b].Free.Accelerators),
--- a/internal/workload/packer/packer_test.go
+++ b/internal/workload/packer/packer_test.go
@@ -41,6 +41,8 @@
 	slow.Slowness = 1
 	fast, verySlow := node("a", 8), node("a", 8)
 	fast.Slowness, verySlow.Slowness = -4, 4
+	unknown := node("a", 8)
+	unknown.Slowness, unknown.Unknown = 1, true
 	inRack := func(rack string, nodes ...packer.Node) []packer.Node {
 		for i := range nodes {
 			nodes[i].Rack = rack
@@ -71,6 +73,7 @@
 		{"a rack's slow node that is not used does not count", []packer.Node{slow, node("a", 8), node("a", 8)}, gang, []int{1, 2}},
 		{"a gang with an ordinary member takes no fast one", []packer.Node{fast, node("a", 8), node("a", 8), verySlow}, packer.Request{Count: 2, Need: need(8)}, []int{1, 2}},
 		{"a gang of fast members", []packer.Node{fast, node("a", 8), fast}, packer.Request{Count: 2, Need: need(8)}, []int{0, 2}},
+		{"a gang with one member of unknown speed takes no other", []packer.Node{unknown, unknown, node("a", 8), unknown}, packer.Request{Count: 2, Need: need(8)}, []int{2, 0}},
 		{"a bulk gang takes slow members", []packer.Node{fast, fast, node("a", 8), node("a", 8), verySlow, verySlow}, bulkGang, []int{4, 5}},
 		{"a bulk gang is not slowed down by one slow member", []packer.Node{fast, fast, node("a", 8), node("a", 8), verySlow}, bulkGang, []int{2, 3}},
 		{"a bulk gang leaves a rack of fast nodes to others", append(inRack("b", fast, fast), node("a", 8), verySlow), bulkGang, []int{3, 2}},
--- a/internal/workload/scheduler/plan.go
+++ b/internal/workload/scheduler/plan.go
@@ -217,7 +217,7 @@
 // node describes the worker to the packer, with what its current runs leave free. A worker
 // that no answer has proved to exist has no capacity, whatever the list says.
 func (m *Model) node(w *worker) packer.Node {
-	n := packer.Node{Rack: w.Rack, Labels: w.Labels, Closed: !m.schedulable(w), Slowness: m.speeds.CautiousLevel(w.ID)}
+	n := packer.Node{Rack: w.Rack, Labels: w.Labels, Closed: !m.schedulable(w), Slowness: m.speeds.CautiousLevel(w.ID), Unknown: m.speedUnknown(w)}
 	if w.answeredInTerm {
 		n.Room, n.Free = w.Room, w.Room
 	}
--- a/internal/workload/scheduler/speed_choice.go
+++ b/internal/workload/scheduler/speed_choice.go
@@ -17,6 +17,9 @@
 	// maxFasterWaitMS is the longest wait of an urgent unit for workers that are not slow
 	// while slow ones are free. It is short compared with the time within which claims start.
 	maxFasterWaitMS = 400
+	// maxAvoidSlowMS bounds that wait if capacity is being freed for the unit: a stop and its
+	// report take less.
+	maxAvoidSlowMS = 1000
 	// slackForSlow is how many times its remaining critical path a job has to have left so
 	// that it may use slow workers: they take 1.6 times as long as ordinary ones, and the
 	// estimates are rough.
@@ -31,6 +34,9 @@
 	sinceMS int64
 }
 
+// speedUnknown reports whether the worker may be slower or faster than its level tells.
+func (m *Model) speedUnknown(w *worker) bool { return m.speeds.Spread() > 0 && !m.speeds.Known(w.ID) }
+
 // maxSlowness returns the level above which a task of an urgent queue ends late although it
 // starts at once.
 func maxSlowness(q describer.Queue) int {
@@ -86,11 +92,20 @@
 	}
 	faster := shape
 	faster.request.MaxSlowness = limit
+	// What is expected to end soon may not: then the slow workers are used.
+	faster.certain = shape.certain || u.missedReservation
 	if p.canHold(faster) {
 		if places, ok = m.placeIn(p, c, m.isolate(p, open, u, true), faster); ok {
 			return places, true, true
 		}
 	}
+	_, slowFits := m.placeIn(p, c, m.isolate(p, open, u, true), shape)
+	if slowFits {
+		m.noteAvoidsSlow(c, u)
+		if m.now.MonoMS-u.faster.sinceMS > m.maxAvoidMS() {
+			return nil, false, false
+		}
+	}
 	if u.reservation != nil {
 		if slices.ContainsFunc(u.reservation.workers, func(w *worker) bool { return m.speeds.CautiousLevel(w.ID) > limit }) {
 			return nil, false, false
@@ -98,7 +113,6 @@
 		p.reserve(u.reservation)
 		return nil, false, true
 	}
-	_, slowFits := m.placeIn(p, c, m.isolate(p, open, u, true), shape)
 	if m.startsApart(p, u, true) {
 		return nil, false, false
 	}
@@ -115,13 +129,26 @@
 	return nil, false, slowFits && m.waitsForFaster(c, u)
 }
 
-// waitsForFaster reports whether the unit still waits for workers that are not slow. It does
-// so briefly, and only while it can still end in time on them.
-func (m *Model) waitsForFaster(c candidate, u *unit) bool {
+// noteAvoidsSlow notes that the unit keeps off slow workers on which it could start.
+func (m *Model) noteAvoidsSlow(c candidate, u *unit) {
 	if u.faster.sinceMS == 0 || u.faster.run != u.record.Run {
 		u.faster = fasterWait{run: u.record.Run, sinceMS: m.now.MonoMS}
-		m.event("UnitAvoidsSlow", "Job", u.id.Job, "Unit", u.id.String(), "MaxLevel", maxSlowness(c.queue), "ForMS", maxFasterWaitMS)
+		m.event("UnitAvoidsSlow", "Job", u.id.Job, "Unit", u.id.String(), "MaxLevel", maxSlowness(c.queue), "ForMS", m.maxAvoidMS())
 	}
+}
+
+// maxAvoidMS is the longest time for which a unit keeps off free slow workers, also while
+// capacity is being freed for it elsewhere. Claims have to begin within ReclaimMS.
+func (m *Model) maxAvoidMS() int64 {
+	if m.cfg.ReclaimMS > 0 {
+		return min(maxAvoidSlowMS, m.cfg.ReclaimMS/2)
+	}
+	return maxAvoidSlowMS
+}
+
+// waitsForFaster reports whether the unit still waits for workers that are not slow. It does
+// so briefly, and only while it can still end in time on them.
+func (m *Model) waitsForFaster(c candidate, u *unit) bool {
 	s := c.step
 	j := s.job
 	objectiveMS := int64(c.queue.Stretch*float64(ranker.CriticalPathMS(j.submission.Job.Steps))) + c.queue.ObjectiveMS
