scheduler: test a takeover without a record of speeds

Cause: only the takeover with a record was tested. Change: the holder is killed before it has recorded any speeds; the next one has to learn and record them and to place urgent gangs by them. It guards against a holder that takes all workers for known after a takeover.

--- a/internal/workload/scheduler/speed_choice_test.go
+++ b/internal/workload/scheduler/speed_choice_test.go
@@ -101,3 +101,23 @@
 	sim.expectStartedWithin(t, jobA, 1000)
 	sim.expectNoViolations(t)
 }
+
+// TestTakeoverWithoutSpeeds kills the holder before it has recorded any speeds. The next one
+// has to learn them anew, rather than to treat all workers as known.
+func TestTakeoverWithoutSpeeds(t *testing.T) {
+	sim := newMixedFleet(t, 4, 1, 0.6, 1.6, 1, 1)
+	sim.holder().kill()
+	sim.runUntilDecided(5000)
+	recorded := 0
+	sim.trace = func(_ string, e scheduler.EventCmd) {
+		if e.Name == "SpeedsRecorded" {
+			recorded++
+		}
+	}
+	sim.learnFromGangs(12)
+	if recorded == 0 {
+		t.Error("the next holder has recorded no speeds after 12 s of gangs")
+	}
+	sim.expectUrgentGangsInTime(t, 10)
+	sim.expectNoViolations(t)
+}
