--- a/internal/workload/scheduler/admission.go
+++ b/internal/workload/scheduler/admission.go
@@ -134,7 +134,7 @@
 		if len(s.spec.After) > 0 {
 			continue
 		}
-		if _, ok := packer.Place(m.nodesFor(p, s, q), requestFor(s, q)); ok {
+		if _, ok := packer.Place(m.nodesFor(p, s, q), m.requestFor(s, q)); ok {
 			return true
 		}
 	}
--- a/internal/workload/scheduler/backfill.go
+++ b/internal/workload/scheduler/backfill.go
@@ -171,7 +171,7 @@
 	if !ok {
 		return nil
 	}
-	r := requestFor(c.step, c.queue)
+	r := m.requestFor(c.step, c.queue)
 	if !m.withinBackfillLimit(p, c.queue.Service, r, outranked) {
 		return nil
 	}
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -63,6 +63,8 @@
 	permits *stepPermits
 	// durations are how long the step's tasks took on their workers.
 	durations []calibrator.Sample
+	// memberTimesMS are how long the members of the step's gang take, by their progress.
+	memberTimesMS []int64
 }
 
 // queue returns the current configuration of the job's queue, or that at the job's
@@ -215,7 +217,7 @@
 	}
 	m.speeds.Add(s.durations)
 	m.learnEstimate(s)
-	s.durations = nil
+	s.durations, s.memberTimesMS = nil, nil
 	s.occurrence.unfinishedSteps--
 	m.endIfComplete(s.job)
 }
--- a/internal/workload/scheduler/sequence.go
+++ b/internal/workload/scheduler/sequence.go
@@ -92,7 +92,7 @@
 
 // learnEstimate compares the run times of a completed step with the caller's estimate.
 func (m *Model) learnEstimate(s *step) {
-	took := make([]int64, 0, len(s.durations))
+	took := slices.Clone(s.memberTimesMS)
 	for _, d := range s.durations {
 		took = append(took, d.TookMS)
 	}
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -77,6 +77,10 @@
 	heldBackSinceMS int64
 	// limitWait is the time in which the unit waits for the limit of its workspace.
 	limitWait period
+	// faster is the unit's wait for workers that are not slow.
+	faster fasterWait
+	// speeds is how the current run of a gang was used to compare its workers.
+	speeds gangSamples
 }
 
 // setState changes the state and updates the step's count of waiting units.
@@ -185,6 +189,7 @@
 			r.progress.AddReport(m.now.MonoMS, 0)
 		}
 	}
+	m.requestSpeedReports(u)
 	m.event("UnitStarted", "Job", u.id.Job, "Unit", u.id.String(), "Run", u.record.Run, "SinceAcceptedMS", m.now.WallMS-u.step.job.submission.AcceptedMS)
 }
 
