scheduler: log and measure the wait of ends for their confirmation

Cause: a worker lists an end until it is confirmed, and confirmations are in order, so one end that is kept back keeps all later ones of its worker back too. Neither the log nor a metric told which end that was, or why.

Change: EndsUnconfirmed tells for each worker, at most once in 2 s, the first end that has waited for 2 s, how many wait behind it, the unit, the cause (NotDurable, LateStart, EarlierTerm) and the time that is left. The histogram daisyhead_end_confirmation_seconds measures from the first listing to the confirmation, the gauge daisyhead_ends_unconfirmed counts the ends that wait.

Tests: TestUnconfirmedEndsAreLogged has each cause once.

--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -39,6 +39,8 @@
 	case scheduler.EventCmd:
 		inst.deps.Reporter.Event(c.Name, c.Fields...)
 		inst.meter.events.WithLabelValues(c.Name).Inc()
+	case scheduler.EndConfirmedCmd:
+		inst.meter.endConfirmation.Observe(float64(c.WaitMS) / 1000)
 	case scheduler.ReadCmd:
 		inst.ledger.ReadNow()
 	case scheduler.StoredCmd:
--- a/internal/workload/assembler/meter.go
+++ b/internal/workload/assembler/meter.go
@@ -17,6 +17,9 @@
 	orders   *prometheus.CounterVec
 	events   *prometheus.CounterVec
 	step     prometheus.Histogram
+	// endConfirmation and endsUnconfirmed are of the ends of tasks that workers list.
+	endConfirmation prometheus.Histogram
+	endsUnconfirmed prometheus.Gauge
 
 	// Gauges of the way to the workers.
 	ordersInFlight, ordersLimit      prometheus.Gauge
@@ -41,8 +44,13 @@
 			Name: "daisyhead_control_step_seconds", Help: "Time of one step of the control loop.",
 			Buckets: []float64{.0001, .0005, .001, .005, .01, .05, .1},
 		}),
-		ordersInFlight: newGauge("daisyhead_orders_in_flight", "Orders to workers that await an answer."),
-		ordersLimit:    newGauge("daisyhead_orders_limit", "Bound of daisyhead_orders_in_flight, by the time that answers take."),
+		endConfirmation: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "daisyhead_end_confirmation_seconds", Help: "Time from the first listing of a task's end to its confirmation, by this holder.",
+			Buckets: []float64{.01, .025, .05, .1, .25, .5, 1, 2, 4, 8, 13, 16, 30},
+		}),
+		endsUnconfirmed: newGauge("daisyhead_ends_unconfirmed", "Ends of tasks that wait for their confirmation."),
+		ordersInFlight:  newGauge("daisyhead_orders_in_flight", "Orders to workers that await an answer."),
+		ordersLimit:     newGauge("daisyhead_orders_limit", "Bound of daisyhead_orders_in_flight, by the time that answers take."),
 		ordersQueued: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "daisyhead_orders_queued", Help: "Orders that wait to be sent, by kind.",
 		}, []string{"kind"}),
@@ -52,7 +60,7 @@
 		ordersDroppedUnsent: newGauge("daisyhead_orders_dropped_unsent", "Orders dropped since the start because they were no longer wanted when their turn came."),
 		passesPaced:         newGauge("daisyhead_passes_paced", "Scheduling passes since the start that were ended early because of queued starts."),
 	}
-	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.calls, m.orders, m.events, m.step, m.endConfirmation, m.endsUnconfirmed, collectors.NewGoCollector(),
 		m.ordersInFlight, m.ordersLimit, m.ordersQueued, m.ordersQueueAge, m.ordersDroppedUnsent, m.passesPaced)
 	return m
 }
--- a/internal/workload/assembler/startup.go
+++ b/internal/workload/assembler/startup.go
@@ -122,6 +122,7 @@
 			}
 			inst.status.lowRank.Store(m.LowRank())
 			inst.meter.setOrderStats(m.OrderStats())
+			inst.meter.endsUnconfirmed.Set(float64(m.UnconfirmedEnds()))
 			for _, registered := range m.Table.Instances {
 				peers[registered.Address] = true
 			}
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -133,6 +133,9 @@
 	Result    StoreResult
 }
 
+// EndConfirmedCmd reports that an end is confirmed, WaitMS after this holder first saw it.
+type EndConfirmedCmd struct{ WaitMS int64 }
+
 // EventCmd logs a decision or a change of the model's state. Fields holds alternating
 // keys and values.
 type EventCmd struct {
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -371,6 +371,7 @@
 	m.removeEndedJobs()
 	m.recordSpeeds()
 	m.reportWaits()
+	m.reportUnconfirmedEnds()
 	if m.now.MonoMS-m.lastPassMS >= passIntervalMS {
 		m.passNeeded = true
 	}
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -172,7 +172,7 @@
 	if w.ends[e.Number] != nil || e.Number <= w.confirmedEnd {
 		return
 	}
-	end := &unconfirmedEnd{}
+	end := m.newEnd(e)
 	w.ends[e.Number] = end
 	ref := endRef{worker: w, incarnation: w.incarnation, number: e.Number}
 	r := w.runs.get(e.Task)
@@ -357,7 +357,10 @@
 
 // unconfirmedEnd is a reported end that the worker lists until it is confirmed.
 type unconfirmedEnd struct {
-	durable bool
+	task TaskRef
+	// listedMS is when this holder first saw the end.
+	listedMS int64
+	durable  bool
 	// unit is the unit that the end completes, or fails for good. The end is not confirmed
 	// while starts of the unit may be executed: a run that starts after a confirmed end runs
 	// the work again.
@@ -405,6 +408,7 @@
 			return
 		}
 		w.confirmedEnd = max(w.confirmedEnd, n)
+		m.noteConfirmed(w.ends[n])
 		delete(w.ends, n)
 	}
 }
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -70,6 +70,8 @@
 	runs   runList
 	// ends are the reported ends that the worker has not been told to forget.
 	ends map[int64]*unconfirmedEnd
+	// endsReportedMS is when an unconfirmed end was last logged.
+	endsReportedMS int64
 	// confirmedEnd is the number up to which all ends are durable. Holds tell it to the
 	// worker.
 	confirmedEnd int64
