scheduler: tell later holders which starts may still be executed

Cause: a new holder can't know which starts of its predecessor got no answer. It takes every unit that is not recorded as settled for one that may start late, and keeps its end unconfirmed until 15.5 s after the begin of the term. A predecessor that could not append had recorded none of its units as settled, though nearly all of its starts had been answered. For jobs with an outcome, the outcome's term alone decided, even if all units were settled.

Change: a process that loses or hands over the term writes the record closing/TERM: the units with starts that may still be executed, its own and inherited ones, and for how much longer. The holder uses the record if it comes from the process that held the term and if all terms since are closed too. A process that was named as the holder and never took over closes that term as inactive. The append is repeated each 0.5 s until it is stored, for 15.5 s at most. The holder removes the record after 30 s. Outcome.Settled says that no start of the job could be executed when the outcome was recorded; relayed outcomes do not say it.

--- a/internal/workload/assembler/dispatch.go
+++ b/internal/workload/assembler/dispatch.go
@@ -23,6 +23,9 @@
 	holdAllowance = 800 * time.Millisecond
 	// relayWriteTimeout limits the attempts to write relayed outcomes.
 	relayWriteTimeout = time.Second
+	// closingTimeout limits one attempt to write a closing record: the longest append, and a
+	// wait for the one before it.
+	closingTimeout = 5 * time.Second
 )
 
 // dispatcher executes the control loop's commands. Commands that wait for an answer run in
@@ -80,6 +83,10 @@
 		if err := inst.deps.Peers.RelayOutcomes(d.ctx, c.Address, c.Outcomes); err != nil {
 			inst.deps.Reporter.Event("RelayUnanswered", "To", c.To, "Error", err.Error())
 		}
+	case scheduler.AppendClosingCmd:
+		ctx, cancel := context.WithTimeout(d.ctx, closingTimeout)
+		defer cancel()
+		inst.loop.Send(scheduler.ClosingAppendedMsg{Term: c.Term, Err: errorText(inst.writer.Append(ctx, c.Record))})
 	case scheduler.WriteOutcomesCmd:
 		d.writeOutcomes(c.Outcomes)
 	case scheduler.HoldCmd:
--- a/internal/workload/explainer/explainer.go
+++ b/internal/workload/explainer/explainer.go
@@ -34,7 +34,7 @@
 var contextEvents = map[string]bool{
 	"TermTaken": true, "TermLost": true, "TermHandedOver": true, "TermYielded": true, "DependencyLost": true,
 	"DependencyRegained": true, "EventsDropped": true, "Started": true, "Leaving": true, "Stopped": true, "WorkerLost": true,
-	"WorkerRestarted": true,
+	"WorkerRestarted": true, "TermClosed": true,
 }
 
 // line is one log line of an instance. text holds its formatted fields, and raw
--- a/internal/workload/reducer/odd_records_test.go
+++ b/internal/workload/reducer/odd_records_test.go
@@ -22,7 +22,7 @@
 		f.Fatal(err)
 	}
 	values := [][]byte{nil, {0xff}, []byte("null"), {0xf6}, bytes.Repeat([]byte{0x81}, 200_000), bytes.Repeat([]byte{0xa1, 0x60}, 100_000), {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, {0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, big}
-	for _, key := range []string{"", "/", "term", "speeds", "instance/x", "submission/x", "cancel/x", "outcome/x", "unheard/x", "unit/x.0.0.0", "unit/x", "unit/x.-1.0.0", "unit/x.99999999999999999999.0.0", "other/x", "\xff"} {
+	for _, key := range []string{"", "/", "term", "speeds", "instance/x", "submission/x", "cancel/x", "outcome/x", "unheard/x", "closing/1", "closing/x", "unit/x.0.0.0", "unit/x", "unit/x.-1.0.0", "unit/x.99999999999999999999.0.0", "other/x", "\xff"} {
 		for _, v := range values {
 			f.Add(key, v)
 		}
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -281,6 +281,9 @@
 	// Term is the latest term in which a start of the job's tasks may have been sent, 0 in
 	// records of earlier versions.
 	Term uint64 `cbor:",omitempty"`
+	// Settled is set if no start of the job's tasks could be executed any more when the outcome
+	// was recorded.
+	Settled bool `cbor:",omitempty"`
 }
 
 // State is the state of a job as callers see it.
--- a/internal/workload/reducer/table.go
+++ b/internal/workload/reducer/table.go
@@ -23,6 +23,8 @@
 	// Unreached holds the workers that the holders of the latest terms have not
 	// reached, by worker ID.
 	Unreached map[string]Unreached
+	// Closings holds the closing records of terms that have ended, by term.
+	Closings map[uint64]Closing
 	// Speeds holds what the holders have learned of the workers' speeds.
 	Speeds Speeds
 	// PendingByQueue counts, for each queue, the submitted jobs that have neither begun nor
@@ -51,7 +53,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{Jobs: map[string]*Job{}, Instances: map[string]Instance{}, InstanceOffsets: map[string]uint64{}, Unreached: map[string]Unreached{}, PendingByQueue: map[string]int{}}
+	return &Table{Jobs: map[string]*Job{}, Instances: map[string]Instance{}, InstanceOffsets: map[string]uint64{}, Unreached: map[string]Unreached{}, Closings: map[uint64]Closing{}, PendingByQueue: map[string]int{}}
 }
 
 // State returns the state of the job as callers see it.
@@ -92,6 +94,8 @@
 		return t.applyUnit(name, r)
 	case kindUnreached:
 		return t.applyUnreached(name, r)
+	case kindClosing:
+		return t.applyClosing(name, r)
 	}
 	return errors.Wrapf(ErrUnreadable, "key %q has an unknown kind", r.Key)
 }
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -55,6 +55,13 @@
 // WriteOutcomesCmd writes outcomes that were relayed to this instance to the ledger.
 type WriteOutcomesCmd struct{ Outcomes []reducer.Record }
 
+// AppendClosingCmd writes the closing record of a term that this process no longer holds, by an
+// append that is not fenced.
+type AppendClosingCmd struct {
+	Term   uint64
+	Record reducer.Record
+}
+
 // ReadCmd requests an immediate read of the ledger.
 type ReadCmd struct{}
 
--- a/internal/workload/scheduler/jobs.go
+++ b/internal/workload/scheduler/jobs.go
@@ -273,8 +273,10 @@
 		return
 	}
 	m.event("JobEnded", "Job", j.id, "State", state, "Reason", reason, "TookMS", m.now.WallMS-j.submission.AcceptedMS)
-	record := reducer.OutcomeRecord(j.id, reducer.Outcome{State: state, Reason: reason, AtMS: m.now.WallMS, Term: m.term.number})
-	m.propose(record, func(m *Model) { delete(m.pendingOutcomes, j.id) })
+	outcome := reducer.Outcome{State: state, Reason: reason, AtMS: m.now.WallMS, Term: m.term.number}
+	record := reducer.OutcomeRecord(j.id, outcome)
+	outcome.Settled = m.jobSettled(j)
+	m.propose(reducer.OutcomeRecord(j.id, outcome), func(m *Model) { delete(m.pendingOutcomes, j.id) })
 	if state == reducer.StateCompleted {
 		m.pendingOutcomes[j.id] = &pendingOutcome{record: record, sinceMS: m.now.MonoMS}
 	}
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -97,6 +97,12 @@
 	Err     string
 }
 
+// ClosingAppendedMsg delivers the result of an AppendClosingCmd for the same term.
+type ClosingAppendedMsg struct {
+	Term uint64
+	Err  string
+}
+
 // TaskRef identifies a run of a task.
 type TaskRef struct {
 	Unit reducer.UnitID
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -197,6 +197,7 @@
 	// lateStartsReadMS is, for each unit whose record tells for how long its starts may be
 	// executed, when this process read that record.
 	lateStartsReadMS map[reducer.UnitID]int64
+	closings         closings
 	// unreachedReadMS is, for each worker, when this process read the latest record
 	// saying that a holder has not reached the worker.
 	unreachedReadMS map[string]int64
@@ -311,8 +312,11 @@
 		m.handleProbed(msg)
 	case AppendedMsg:
 		m.handleAppended(msg)
+	case ClosingAppendedMsg:
+		m.handleClosingAppended(msg)
 	case HeldMsg, StartedMsg, StoppedMsg, AdvisedMsg:
 		m.countAnswer(msg)
+		m.noteAnswerAfterTerm(msg)
 		m.handleAnswer(msg)
 	case StoreMsg:
 		m.store(msg)
@@ -358,6 +362,7 @@
 	m.askSilentHolder()
 	m.claimTermIfDue()
 	m.retryHandover()
+	m.sendClosings()
 	if !m.deciding() {
 		return
 	}
@@ -372,6 +377,7 @@
 	m.recordSpeeds()
 	m.reportWaits()
 	m.reportUnconfirmedEnds()
+	m.removeClosings()
 	if m.now.MonoMS-m.lastPassMS >= passIntervalMS {
 		m.passNeeded = true
 	}
@@ -427,6 +433,9 @@
 	if id, ok := reducer.UnitRecordID(r); ok {
 		m.noteLateStarts(id)
 	}
+	if term, ok := reducer.ClosingTerm(r); ok {
+		m.readClosing(term)
+	}
 	if reducer.IsHolderRecord(r) {
 		m.term.silentSinceMS = m.now.MonoMS
 		m.liveness.silentTerm, m.term.provenTerm = 0, 0
@@ -451,6 +460,7 @@
 			m.noteLateStarts(id)
 		}
 	}
+	m.loadClosings()
 	for worker := range m.Table.Unreached {
 		m.unreachedReadMS[worker] = m.now.MonoMS
 	}
--- a/internal/workload/scheduler/outcomes.go
+++ b/internal/workload/scheduler/outcomes.go
@@ -14,6 +14,8 @@
 
 // pendingOutcome is the outcome of a completed job that is not durable yet.
 type pendingOutcome struct {
+	// record does not say that the job is settled: when another instance writes it, a later
+	// holder may have sent starts of the job.
 	record  reducer.Record
 	sinceMS int64
 }
@@ -94,7 +96,7 @@
 		// The writer does not know of starts in this term.
 		if t, known := m.Table.Lookup(id); known && t.Outcome != nil && t.Outcome.Term < m.term.number {
 			o := *t.Outcome
-			o.Term = m.term.number
+			o.Term, o.Settled = m.term.number, m.jobSettled(j)
 			m.propose(reducer.OutcomeRecord(id, o))
 		}
 		m.closeJob(j)
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -180,7 +180,7 @@
 	state, _ := m.otherRuns(e.Task)
 	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind, "Known", r != nil, "UnitState", state)
 	if e.Kind == EndDone || e.Kind == EndFailed && m.lastAttempt(u) {
-		m.holdEnd(end, e.Task.Unit.Job, r, u)
+		m.holdEnd(end, r, u)
 	}
 	if r != nil {
 		m.recordDuration(r, e.Kind)
@@ -372,17 +372,13 @@
 // holdEnd keeps a final end from being confirmed as long as the unit may start again. A
 // holder that has not seen the run doesn't know whether its predecessors left starts
 // unanswered.
-func (m *Model) holdEnd(end *unconfirmedEnd, job string, r *run, u *unit) {
+func (m *Model) holdEnd(end *unconfirmedEnd, r *run, u *unit) {
 	if u != nil && u.step.spec.Perpetual {
 		return
 	}
 	end.unit = u
-	switch {
-	case r != nil:
-	case u == nil:
-		end.notBeforeMS = m.startsExpireMS(m.lastTermOf(job))
-	case !u.record.Settled:
-		end.notBeforeMS = m.startsExpireMS(u.record.Term)
+	if r == nil {
+		end.notBeforeMS = m.endWaitMS(end.task.Unit, u)
 	}
 }
 
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -544,6 +544,8 @@
 		}
 	case scheduler.AskAliveCmd:
 		i.askAlive(c)
+	case scheduler.AppendClosingCmd:
+		i.appendClosing(c)
 	case scheduler.YieldCmd:
 		for _, o := range sim.instances {
 			if o.name == c.To {
--- a/internal/workload/scheduler/term.go
+++ b/internal/workload/scheduler/term.go
@@ -266,6 +266,7 @@
 	m.speeds.Restore(m.Table.Speeds.Levels)
 	m.speedsRecordedMS = m.now.MonoMS
 	m.syncJobs()
+	m.applyClosings()
 	m.passNeeded = true
 }
 
@@ -273,6 +274,7 @@
 // that the records may or may not become durable.
 func (m *Model) stepDown(reason string) {
 	m.term.active = false
+	m.closeTerm()
 	m.workers, m.fleet, m.jobs, m.liveJobs, m.reservations = map[string]*worker{}, nil, map[string]*job{}, nil, nil
 	m.unconfirmedCrashes, m.lateStarts, m.unsettled = nil, nil, nil
 	clear(m.lateStartCounts)
--- a/internal/workload/scheduler/term_ages.go
+++ b/internal/workload/scheduler/term_ages.go
@@ -16,6 +16,7 @@
 // preceding holder lose it.
 func (m *Model) rememberTerm() {
 	number, holder := m.Table.Term.Number, m.Table.Term.Holder
+	m.noteTermHolder(number, holder)
 	if _, seen := m.termFirstSeenMS[number]; !seen {
 		m.termFirstSeenMS[number] = m.now.MonoMS
 		m.noteTermBegun(number, m.now.MonoMS)
