--- a/internal/workload/scheduler/closing.go
+++ b/internal/workload/scheduler/closing.go
@@ -51,6 +51,10 @@
 	appending bool
 	nextMS    int64
 	appends   int
+	// firstSentMS is when the first append was sent, relayedMS when the record was last
+	// relayed to another instance.
+	firstSentMS, relayedMS int64
+	relays                 int
 }
 
 // sentStart identifies a start that awaits its answer.
@@ -147,6 +151,7 @@
 func (m *Model) sendClosings() {
 	m.closings.unwritten = slices.DeleteFunc(m.closings.unwritten, func(c *unwrittenClosing) bool {
 		ageMS := m.now.MonoMS - c.endedMS
+		m.relayClosing(c)
 		if c.appending || m.now.MonoMS < c.nextMS || len(c.inFlight) > 0 && ageMS < answersAfterTermMS {
 			return false
 		}
@@ -154,18 +159,56 @@
 			m.event("TermNotClosed", "Term", c.term, "Appends", c.appends, "Reason", "not stored in time")
 			return true
 		}
-		r, ok := reducer.ClosingRecord(reducer.Closing{Term: c.term, Holder: m.cfg.Holder, Inactive: c.inactive, Waits: c.waits(m.now.MonoMS)})
+		r, ok := m.closingRecord(c)
 		if !ok {
 			m.event("TermNotClosed", "Term", c.term, "Units", len(c.untilMS), "Reason", "too many units")
 			return true
 		}
 		c.appending = true
-		c.appends++
+		if c.appends++; c.appends == 1 {
+			c.firstSentMS = m.now.MonoMS
+		}
 		m.emit(AppendClosingCmd{Term: c.term, Record: r})
 		return false
 	})
 }
 
+func (m *Model) closingRecord(c *unwrittenClosing) (r reducer.Record, ok bool) {
+	return reducer.ClosingRecord(reducer.Closing{Term: c.term, Holder: m.cfg.Holder, Inactive: c.inactive, Waits: c.waits(m.now.MonoMS)})
+}
+
+// relayClosing relays a closing record that this process can't append to the other instances in
+// turn, as it does with outcomes: a process often loses the term because it alone can't append.
+func (m *Model) relayClosing(c *unwrittenClosing) {
+	if c.appends == 0 || m.now.MonoMS-c.firstSentMS < closingRetryMS || m.now.MonoMS-c.relayedMS < closingRetryMS {
+		return
+	}
+	others := m.termCandidates()
+	if holder, known := m.Table.Instances[reducer.InstanceOf(m.Table.Term.Holder)]; known {
+		others = slices.Insert(others, 0, holder)
+	}
+	others = slices.DeleteFunc(others, func(i reducer.Instance) bool { return i.Name == m.cfg.Instance })
+	r, ok := m.closingRecord(c)
+	if len(others) == 0 || !ok {
+		return
+	}
+	to := others[c.relays%len(others)]
+	c.relays++
+	c.relayedMS = m.now.MonoMS
+	m.event("ClosingRelayed", "Term", c.term, "To", to.Name)
+	m.emit(RelayOutcomesCmd{Outcomes: []reducer.Record{r}, To: to.Name, Address: to.Address})
+}
+
+// writeRelayedClosing writes the closing record of another process, if this instance reaches the
+// ledger.
+func (m *Model) writeRelayedClosing(term uint64, r reducer.Record) {
+	_, stored := m.Table.Closings[term]
+	if stored || r.Oversized() || m.now.MonoMS-m.tableAsOfMS > relayTableAgeMS {
+		return
+	}
+	m.emit(AppendClosingCmd{Term: term, Record: r})
+}
+
 // waits returns for how much longer starts of each unit may be executed. A start that has no
 // answer yet may not even have left this process.
 func (c *unwrittenClosing) waits(nowMS int64) map[string]int64 {
@@ -183,12 +226,20 @@
 
 // handleClosingAppended forgets a closing record that is stored.
 func (m *Model) handleClosingAppended(msg ClosingAppendedMsg) {
-	m.closings.unwritten = slices.DeleteFunc(m.closings.unwritten, func(c *unwrittenClosing) bool {
-		if c.term != msg.Term {
-			return false
+	for _, c := range m.closings.unwritten {
+		if c.term == msg.Term {
+			c.appending, c.nextMS = false, m.now.MonoMS+closingRetryMS
 		}
-		c.appending, c.nextMS = false, m.now.MonoMS+closingRetryMS
-		if msg.Err != "" {
+	}
+	if msg.Err == "" {
+		m.forgetClosing(msg.Term)
+	}
+}
+
+// forgetClosing forgets the closing record of a term that this process held, since it is stored.
+func (m *Model) forgetClosing(term uint64) {
+	m.closings.unwritten = slices.DeleteFunc(m.closings.unwritten, func(c *unwrittenClosing) bool {
+		if c.term != term {
 			return false
 		}
 		m.event("TermClosed", "Term", c.term, "Step", "Written", "Units", len(c.waits(m.now.MonoMS)), "Inactive", c.inactive, "AfterMS", m.now.MonoMS-c.endedMS)
@@ -203,7 +254,11 @@
 		m.closings.readMS = map[uint64]int64{}
 	}
 	m.closings.readMS[term] = m.now.MonoMS
-	if c, ok := m.Table.Closings[term]; ok && m.term.active {
+	c, ok := m.Table.Closings[term]
+	if ok && c.Holder == m.cfg.Holder {
+		m.forgetClosing(term)
+	}
+	if ok && m.term.active {
 		m.event("TermClosed", "Term", term, "Step", "Read", "Units", len(c.Waits), "Inactive", c.Inactive, "Holder", c.Holder, "HeldBy", m.closings.holders[term])
 		m.applyClosings()
 	}
--- a/internal/workload/scheduler/closing_test.go
+++ b/internal/workload/scheduler/closing_test.go
@@ -19,10 +19,44 @@
 		})
 		return
 	}
-	sim.after(sim.ledger.appendMS(), func() { sim.ledger.records = append(sim.ledger.records, c.Record) })
+	sim.after(sim.ledger.appendMS(), func() {
+		sim.ledger.records = append(sim.ledger.records, c.Record)
+		sim.noteClosing(c.Record)
+	})
 	i.reply(sim.ledger.appendMS(), func() scheduler.Msg { return scheduler.ClosingAppendedMsg{Term: c.Term} })
 }
 
+// storedClosing is a closing record and when it was stored.
+type storedClosing struct {
+	reducer.Closing
+	atMS int64
+}
+
+// noteClosing remembers a closing record that was stored.
+func (sim *simulation) noteClosing(r reducer.Record) {
+	t := reducer.New()
+	if err := t.Apply(0, r); err != nil {
+		sim.t.Fatal(err)
+	}
+	if sim.closings == nil {
+		sim.closings = map[uint64]storedClosing{}
+	}
+	for term, c := range t.Closings {
+		sim.closings[term] = storedClosing{Closing: c, atMS: sim.nowMS}
+	}
+}
+
+// checkClosed checks that no start of a term begins a run that its closing record rules out.
+func (sim *simulation) checkClosed(c scheduler.Command) {
+	start, ok := c.(scheduler.StartCmd)
+	if !ok {
+		return
+	}
+	if closing, closed := sim.closings[start.Term]; closed && sim.nowMS > closing.atMS+closing.Waits[start.Task.Unit.String()] {
+		sim.checker.addViolation("at %d ms: a start of %s begins a run although term %d is closed since %d ms, with a wait of %d ms", sim.nowMS, start.Task.Unit, start.Term, closing.atMS, closing.Waits[start.Task.Unit.String()])
+	}
+}
+
 // TestEndsAreConfirmedOnceTermIsClosed guards against ends that wait for 15.5 s after a takeover
 // although the predecessor knows that all starts of their units were answered.
 func TestEndsAreConfirmedOnceTermIsClosed(t *testing.T) {
@@ -39,6 +73,53 @@
 	watch.sim.expectNoViolations(t)
 }
 
+// TestEndsAreConfirmedWhileFormerHolderIsCutOff guards against ends that wait because the process
+// that knows which starts were answered can't reach the ledger.
+func TestEndsAreConfirmedWhileFormerHolderIsCutOff(t *testing.T) {
+	watch, _ := takeoverWatch(t)
+	watch.run(30000)
+	watch.sim.expectStepDone(t, jobA)
+	if got := watch.longestMS[jobA]; got > confirmedWithinMS {
+		t.Errorf("the ends are confirmed after %d ms, want %d at most", got, confirmedWithinMS)
+	}
+	watch.sim.expectNoViolations(t)
+}
+
+// TestEndsByWayOfTakeover guards against ways to lose the term after which ends wait for 15.5 s
+// although the former holder lives, and against ends that are confirmed early after the others.
+func TestEndsByWayOfTakeover(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		lose   func(*simulation, *instance)
+		closed bool
+	}{
+		{"the holder leaves", func(sim *simulation, h *instance) { sim.shutDown(h, 20000) }, true},
+		{"the holder stands still", func(sim *simulation, h *instance) { h.frozen = true; sim.after(3000, h.thaw) }, true},
+		{"the holder's machine is suspended", func(_ *simulation, h *instance) { h.suspend(3000) }, true},
+		{"the holder can't reach the ledger", func(sim *simulation, h *instance) {
+			h.ledgerUnreachable = true
+			sim.after(3000, func() { h.ledgerUnreachable = false })
+		}, true},
+		{"the holder is killed", func(_ *simulation, h *instance) { h.kill() }, false},
+		{"the holder's process is restarted", func(sim *simulation, h *instance) { h.kill(); sim.after(500, h.start) }, false},
+		{"all processes are restarted", func(sim *simulation, _ *instance) { sim.restartAll(500) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim, h := answeredStarts(t)
+			watch := newEndWatch(sim)
+			c.lose(sim, h)
+			watch.run(30000)
+			sim.expectStepDone(t, jobA)
+			if got := watch.longestMS[jobA]; c.closed != (got <= confirmedWithinMS) {
+				t.Errorf("the ends are confirmed after %d ms, want %d at most: %t", got, confirmedWithinMS, c.closed)
+			} else {
+				t.Logf("the ends are confirmed after %d ms", got)
+			}
+			sim.expectNoViolations(t)
+		})
+	}
+}
+
 // TestForeignClosingHasNoEffect guards against closing records of processes that did not hold the
 // term, and of earlier terms, that cut the wait for starts short.
 func TestForeignClosingHasNoEffect(t *testing.T) {
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -45,7 +45,7 @@
 	Address string
 }
 
-// RelayOutcomesCmd asks another instance to write outcomes to the ledger.
+// RelayOutcomesCmd asks another instance to write outcomes, or a closing record, to the ledger.
 type RelayOutcomesCmd struct {
 	Outcomes []reducer.Record
 	To       string
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -250,7 +250,7 @@
 }
 
 // OutcomesMsg asks this instance to write outcomes that the holder can't write to the ledger
-// at present.
+// at present, or a closing record that a former holder can't write.
 type OutcomesMsg struct{ Outcomes []reducer.Record }
 
 // YieldMsg asks this instance to claim the next term, because the holder of Term can't
--- a/internal/workload/scheduler/outcomes.go
+++ b/internal/workload/scheduler/outcomes.go
@@ -56,11 +56,15 @@
 	m.emit(RelayOutcomesCmd{Outcomes: late, To: to.Name, Address: to.Address})
 }
 
-// handleRelayed writes outcomes that the holder of a term can't write, if this instance
+// handleRelayed writes outcomes and closing records that the holder of a term can't write, if this instance
 // reaches the ledger. If it has become the holder, it ends the jobs itself.
 func (m *Model) handleRelayed(msg OutcomesMsg) {
 	var missing []reducer.Record
 	for _, r := range msg.Outcomes {
+		if term, ok := reducer.ClosingTerm(r); ok {
+			m.writeRelayedClosing(term, r)
+			continue
+		}
 		id, ok := reducer.OutcomeJobID(r)
 		t, known := m.Table.Lookup(id)
 		if !ok || !known || t.Outcome != nil {
--- a/internal/workload/scheduler/simulation_test.go
+++ b/internal/workload/scheduler/simulation_test.go
@@ -108,6 +108,8 @@
 	stored map[uint64]bool
 	// roomGraceMS is how long a capacity still counts after a worker's has shrunk.
 	roomGraceMS int64
+	// closings are the closing records that were stored, by their terms.
+	closings map[uint64]storedClosing
 	// trace receives the events of all instances, unless it is nil.
 	trace func(instance string, e scheduler.EventCmd)
 }
@@ -632,7 +634,12 @@
 	sentMS := sim.nowMS
 	executeOrder := func(late bool) scheduler.OrderResult {
 		sim.checker.executingLate, sim.checker.executingSentMS = late, sentMS
-		return execute()
+		starts := sim.checker.starts
+		result := execute()
+		if sim.checker.starts > starts {
+			sim.checkClosed(c)
+		}
+		return result
 	}
 	if f.replaced {
 		i.reply(2*sim.orderLatencyMS, func() scheduler.Msg { return msg(scheduler.OrderOtherIncarnation) })
