Merge the closing records of terms

Cause: after a change of holder the ends of runs that the predecessor had not recorded as settled were withheld for 15.5 s, and with them all later ends of their workers. Change: a process that loses the term records which of its starts may still be executed, and outcomes tell whether any may.

--- a/internal/workload/assembler/startup.go
+++ b/internal/workload/assembler/startup.go
@@ -125,6 +125,7 @@
 			inst.meter.setWorkspaceUses(m.WorkspaceUses())
 			inst.meter.setQueueStats(m.QueueStats())
 			inst.meter.setBackfillStats(m.BackfillStats())
+			inst.meter.endsUnconfirmed.Set(float64(m.UnconfirmedEnds()))
 			for _, registered := range m.Table.Instances {
 				peers[registered.Address] = true
 			}
--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -284,6 +284,9 @@
 	// Term is the latest term in which a start of the job's tasks may have been sent, 0 in
 	// records of earlier versions.
 	Term uint64 `cbor:",omitempty"`
+	// Settled is set if no start of the job's tasks could be executed any more when the outcome
+	// was recorded.
+	Settled bool `cbor:",omitempty"`
 	// Left lists the workers on which runs of the job may be present, or be started, although the
 	// records of its units are removed.
 	Left []LeftRuns `cbor:",omitempty"`
--- a/internal/workload/scheduler/commands.go
+++ b/internal/workload/scheduler/commands.go
@@ -45,7 +45,7 @@
 	Address string
 }
 
-// RelayOutcomesCmd asks another instance to write outcomes to the ledger.
+// RelayOutcomesCmd asks another instance to write outcomes, or a closing record, to the ledger.
 type RelayOutcomesCmd struct {
 	Outcomes []reducer.Record
 	To       string
@@ -55,6 +55,13 @@
 // WriteOutcomesCmd writes outcomes that were relayed to this instance to the ledger.
 type WriteOutcomesCmd struct{ Outcomes []reducer.Record }
 
+// AppendClosingCmd writes the closing record of a term that this process no longer holds, by an
+// append that is not fenced.
+type AppendClosingCmd struct {
+	Term   uint64
+	Record reducer.Record
+}
+
 // ReadCmd requests an immediate read of the ledger.
 type ReadCmd struct{}
 
@@ -141,6 +148,9 @@
 	RetryAfterMS int64
 }
 
+// EndConfirmedCmd reports that an end is confirmed, WaitMS after this holder first saw it.
+type EndConfirmedCmd struct{ WaitMS int64 }
+
 // EventCmd logs a decision or a change of the model's state. Fields holds alternating
 // keys and values.
 type EventCmd struct {
--- a/internal/workload/scheduler/messages.go
+++ b/internal/workload/scheduler/messages.go
@@ -108,6 +108,12 @@
 	Err     string
 }
 
+// ClosingAppendedMsg delivers the result of an AppendClosingCmd for the same term.
+type ClosingAppendedMsg struct {
+	Term uint64
+	Err  string
+}
+
 // TaskRef identifies a run of a task.
 type TaskRef struct {
 	Unit reducer.UnitID
@@ -255,7 +261,7 @@
 }
 
 // OutcomesMsg asks this instance to write outcomes that the holder can't write to the ledger
-// at present.
+// at present, or a closing record that a former holder can't write.
 type OutcomesMsg struct{ Outcomes []reducer.Record }
 
 // YieldMsg asks this instance to claim the next term, because the holder of Term can't
--- a/internal/workload/scheduler/outcomes.go
+++ b/internal/workload/scheduler/outcomes.go
@@ -14,6 +14,8 @@
 
 // pendingOutcome is the outcome of a completed job that is not durable yet.
 type pendingOutcome struct {
+	// record does not say that the job is settled: when another instance writes it, a later
+	// holder may have sent starts of the job.
 	record  reducer.Record
 	sinceMS int64
 }
@@ -54,11 +56,15 @@
 	m.emit(RelayOutcomesCmd{Outcomes: late, To: to.Name, Address: to.Address})
 }
 
-// handleRelayed writes outcomes that the holder of a term can't write, if this instance
+// handleRelayed writes outcomes and closing records that the holder of a term can't write, if this instance
 // reaches the ledger. If it has become the holder, it ends the jobs itself.
 func (m *Model) handleRelayed(msg OutcomesMsg) {
 	var missing []reducer.Record
 	for _, r := range msg.Outcomes {
+		if term, ok := reducer.ClosingTerm(r); ok {
+			m.writeRelayedClosing(term, r)
+			continue
+		}
 		id, ok := reducer.OutcomeJobID(r)
 		t, known := m.Table.Lookup(id)
 		if !ok || !known || t.Outcome != nil {
@@ -94,7 +100,7 @@
 		// The writer does not know of starts in this term.
 		if t, known := m.Table.Lookup(id); known && t.Outcome != nil && t.Outcome.Term < m.term.number {
 			o := *t.Outcome
-			o.Term = m.term.number
+			o.Term, o.Settled = m.term.number, m.jobSettled(j)
 			m.propose(reducer.OutcomeRecord(id, o))
 		}
 		m.closeJob(j)
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -178,7 +178,7 @@
 	if w.ends[e.Number] != nil || e.Number <= w.confirmedEnd {
 		return
 	}
-	end := &unconfirmedEnd{}
+	end := m.newEnd(e)
 	w.ends[e.Number] = end
 	ref := endRef{worker: w, incarnation: w.incarnation, number: e.Number}
 	r := w.runs.get(e.Task)
@@ -186,7 +186,7 @@
 	state, _ := m.otherRuns(e.Task)
 	m.event("RunEnded", "Job", e.Task.Unit.Job, "Unit", e.Task.Unit.String(), "Member", e.Task.Member, "Run", e.Task.Run, "Worker", w.ID, "Kind", e.Kind, "Known", r != nil, "UnitState", state)
 	if e.Kind == EndDone || e.Kind == EndFailed && m.lastAttempt(u) {
-		m.holdEnd(end, e.Task.Unit.Job, r, u)
+		m.holdEnd(end, r, u)
 	}
 	if r != nil {
 		m.recordDuration(r, e.Kind)
@@ -364,7 +364,10 @@
 
 // unconfirmedEnd is a reported end that the worker lists until it is confirmed.
 type unconfirmedEnd struct {
-	durable bool
+	task TaskRef
+	// listedMS is when this holder first saw the end.
+	listedMS int64
+	durable  bool
 	// unit is the unit that the end completes, or fails for good. The end is not confirmed
 	// while starts of the unit may be executed: a run that starts after a confirmed end runs
 	// the work again.
@@ -376,17 +379,13 @@
 // holdEnd keeps a final end from being confirmed as long as the unit may start again. A
 // holder that has not seen the run doesn't know whether its predecessors left starts
 // unanswered.
-func (m *Model) holdEnd(end *unconfirmedEnd, job string, r *run, u *unit) {
+func (m *Model) holdEnd(end *unconfirmedEnd, r *run, u *unit) {
 	if u != nil && u.step.spec.Perpetual {
 		return
 	}
 	end.unit = u
-	switch {
-	case r != nil:
-	case u == nil:
-		end.notBeforeMS = m.startsExpireMS(m.lastTermOf(job))
-	case !u.record.Settled:
-		end.notBeforeMS = m.startsExpireMS(u.record.Term)
+	if r == nil {
+		end.notBeforeMS = m.endWaitMS(end.task.Unit, u)
 	}
 }
 
@@ -412,6 +411,7 @@
 			return
 		}
 		w.confirmedEnd = max(w.confirmedEnd, n)
+		m.noteConfirmed(w.ends[n])
 		delete(w.ends, n)
 	}
 }
