Don't confirm ends to a worker whose latest start was not reported

Cause: a hold confirmed ends by the numbers of the incarnation of the latest report. A worker that restarted within 10 ms before it, and had run a task since, forgot the end of that task, and the task was started again (TestConfirmationOutlivesQuickRestart).

Change: a hold carries a confirmation only if no start can have been executed unseen since the latest report: each run was listed by it, or its start was answered before the report was requested, and no start is in flight. Otherwise the hold is answered at once and the next one confirms. After four such holds in a row the worker's starts wait for the confirmation.

--- /dev/null
+++ b/internal/workload/scheduler/confirmations.go
@@ -0,0 +1,77 @@
+package scheduler
+
+import "slices"
+
+// A hold confirms ends by their numbers, and each incarnation of a worker numbers its ends
+// anew. If the worker has restarted since its latest report, a confirmation makes it forget
+// ends that the holder has not seen. A new incarnation can have such ends only if a start
+// was executed there.
+
+const (
+	// freshReportMS is how old the report before a confirmation may be while an unanswered
+	// start may be executed at any time: a tick.
+	freshReportMS = 50
+	// maxWithheldConfirmations is how many holds in a row may go without a due confirmation
+	// because of new starts. From then on the worker's starts wait, so that ends are
+	// confirmed on busy workers too.
+	maxWithheldConfirmations = 4
+	// withheldPauseMS is the pause after the second such hold, which doubles with each one.
+	withheldPauseMS = 20
+)
+
+// confirmationDue reports whether the worker has to be told to forget further ends.
+func (w *worker) confirmationDue() bool { return w.confirmedEnd > w.confirmationAnswered }
+
+// mayConfirm reports whether the worker may be told to forget ends by the numbers of the
+// incarnation that it last reported: no start can have been executed unseen since that report.
+func (m *Model) mayConfirm(w *worker) bool {
+	if w.reportAsOfMS <= w.unansweredMS {
+		return false
+	}
+	if slices.ContainsFunc(w.runs.list, (*run).mayHaveStartedUnseen) {
+		return false
+	}
+	return m.now.MonoMS-w.clockAtMS <= freshReportMS || m.unansweredStarts(w) == 0
+}
+
+// mayHaveStartedUnseen reports whether the run may have been started since the latest report
+// of its worker.
+func (r *run) mayHaveStartedUnseen() bool {
+	if r.startInFlight {
+		return true
+	}
+	return !r.reported() && r.lastAnswerMS >= r.worker.reportAsOfMS
+}
+
+// reported reports whether the worker's present incarnation has reported the run as running.
+// An answer to the start does not tell which incarnation has executed it.
+func (r *run) reported() bool { return r.reportedIn != 0 && r.reportedIn == r.worker.incarnation }
+
+// addConfirmation lets the hold confirm ends if that is due and allowed. Otherwise the worker
+// has to answer at once, so that a later hold can.
+func (m *Model) addConfirmation(w *worker, cmd *HoldCmd) {
+	switch {
+	case !w.confirmationDue():
+		w.withheldConfirmations = 0
+	case m.mayConfirm(w):
+		w.withheldConfirmations = 0
+		cmd.ConfirmedEnd = w.confirmedEnd
+	default:
+		w.withheldConfirmations++
+		cmd.WaitMS = 0
+	}
+}
+
+// confirmationDelayMS is the pause before the next hold while a confirmation is due.
+func (m *Model) confirmationDelayMS(w *worker) int64 {
+	if w.withheldConfirmations <= 1 || m.mayConfirm(w) {
+		return 0
+	}
+	return withheldPauseMS << min(w.withheldConfirmations-2, maxWithheldConfirmations)
+}
+
+// confirmationDelaysStarts reports whether starts to the worker have to wait until a due
+// confirmation is on its way.
+func (m *Model) confirmationDelaysStarts(w *worker) bool {
+	return w.withheldConfirmations >= maxWithheldConfirmations && w.confirmationDue()
+}
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -78,6 +78,8 @@
 // nextHoldDelayMS returns the pause before the next hold.
 func (m *Model) nextHoldDelayMS(w *worker) int64 {
 	switch {
+	case w.confirmationDue():
+		return m.confirmationDelayMS(w)
 	case len(w.ends) > 0:
 		return confirmWaitMS
 	case m.holdWaitMS(w) == 0:
@@ -119,7 +121,7 @@
 	if p.Checkpoint != "" && r.unit != nil && r.unit.state != unitDone {
 		r.unit.record.Checkpoint = p.Checkpoint
 	}
-	r.percent = p.Percent
+	r.percent, r.reportedIn = p.Percent, w.incarnation
 	m.markPresent(r)
 	m.checkStarted(r.unit)
 	if r.unit != nil {
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -41,6 +41,8 @@
 	// executed until lateStartUntilMS, even if a repetition of it was answered.
 	startUnanswered  bool
 	lateStartUntilMS int64
+	// reportedIn is the incarnation of the worker that has reported the run as running.
+	reportedIn int64
 	// barredIn is the incarnation of the worker that rejects starts of the run, because it
 	// has confirmed a stop of the run or has ended it.
 	barredIn int64
@@ -106,7 +108,7 @@
 // lease, the table is too old to show a recent cancellation, or the list too old to show a
 // recent change of the capacity; retryOrders tries again.
 func (m *Model) mayStart(r *run) bool {
-	return !r.orderInFlight && !r.unit.termUnrecorded && r.worker.answered && !r.worker.owesAnswer() && !r.worker.unreachedRecorded && m.tableFresh() && m.listFresh()
+	return !r.orderInFlight && !r.unit.termUnrecorded && r.worker.answered && !r.worker.owesAnswer() && !m.confirmationDelaysStarts(r.worker) && !r.worker.unreachedRecorded && m.tableFresh() && m.listFresh()
 }
 
 // hasRoomFor reports whether the run fits the worker's capacity beside the other runs that
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -78,6 +78,9 @@
 	confirmingEnd, confirmationAnswered int64
 	// lateConfirmationUntilMS is until when an unanswered confirmation may be executed.
 	lateConfirmationUntilMS int64
+	// withheldConfirmations counts the latest holds in a row that went without a due
+	// confirmation.
+	withheldConfirmations int
 }
 
 // worker returns the worker with the ID, and creates it if it is not known. A worker that
@@ -220,10 +223,8 @@
 	cmd := HoldCmd{OrderID: orderID, Worker: w.ID, Address: w.Address, Sequence: w.holdSequence, Term: m.term.number}
 	if w.answered && w.holdFailures == 0 {
 		cmd.WaitMS = m.holdWaitMS(w)
+		m.addConfirmation(w, &cmd)
 		w.holdWaits = cmd.WaitMS > 0
-		if w.confirmedEnd > w.confirmationAnswered {
-			cmd.ConfirmedEnd = w.confirmedEnd
-		}
 		if m.termConfirmed() && w.runs.len() > 0 && !w.unreachedRecorded {
 			cmd.DeadlineMS = m.grantLease(w)
 		}
