Don't repeat a start in a life of a worker that may forget its end

Cause: after a restart the worker gets no new tasks until an unanswered confirmation of the life before has run out, but a start that had got no answer was repeated there. The task ended while the worker was cut off, the late confirmation made the worker forget the end, and the task ran again after its end was confirmed.

Change: after a restart no start is sent to the worker until that confirmation has run out. A run whose start would have to be repeated is stopped, and its unit waits for the late start as any other.

--- a/internal/workload/scheduler/confirmations.go
+++ b/internal/workload/scheduler/confirmations.go
@@ -70,8 +70,9 @@
 	return withheldPauseMS << min(w.withheldConfirmations-2, maxWithheldConfirmations)
 }
 
-// confirmationDelaysStarts reports whether starts to the worker have to wait until a due
-// confirmation is on its way.
+// confirmationDelaysStarts reports whether starts to the worker have to wait: until a due
+// confirmation is on its way, or after a restart until a confirmation by the numbers of an
+// earlier incarnation can't be executed any more.
 func (m *Model) confirmationDelaysStarts(w *worker) bool {
-	return w.withheldConfirmations >= maxWithheldConfirmations && w.confirmationDue()
+	return m.now.MonoMS < w.startsBarredUntilMS || w.withheldConfirmations >= maxWithheldConfirmations && w.confirmationDue()
 }
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -38,6 +38,7 @@
 		// A late confirmation would make this incarnation forget ends by the numbers of an
 		// earlier one, so no task may end here until then.
 		w.coolDown(w.lateConfirmationUntilMS)
+		w.startsBarredUntilMS = w.lateConfirmationUntilMS
 	}
 	m.barLateStarts(w)
 	present := map[TaskRef]bool{}
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -81,6 +81,9 @@
 	// withheldConfirmations counts the latest holds in a row that went without a due
 	// confirmation.
 	withheldConfirmations int
+	// startsBarredUntilMS is until when a confirmation for an earlier incarnation may be
+	// executed by the present one.
+	startsBarredUntilMS int64
 }
 
 // worker returns the worker with the ID, and creates it if it is not known. A worker that
@@ -363,7 +366,7 @@
 	for _, e := range p.Ended {
 		listed[m.resolveUnit(e.Task)] = true
 	}
-	kept := (*run).outlivesRestart
+	kept := func(r *run) bool { return r.outlivesRestart(m.now.MonoMS) }
 	for _, r := range w.runs.list {
 		listed[r.ref] = listed[r.ref] || kept(r)
 	}
@@ -373,9 +376,10 @@
 
 // outlivesRestart reports whether the run is still being started although its worker has
 // restarted: nothing tells that it was present before, and a repetition of its start, or a late
-// execution, starts the same run.
-func (r *run) outlivesRestart() bool {
-	return r.state == runStartSent && (r.startUnanswered || r.orderInFlight) && r.unit != nil && r.unit.state == unitStarting
+// execution, starts the same run. No start is repeated while a confirmation for an earlier
+// incarnation may make the worker forget the end of the run.
+func (r *run) outlivesRestart(nowMS int64) bool {
+	return nowMS >= r.worker.lateConfirmationUntilMS && r.state == runStartSent && (r.startUnanswered || r.orderInFlight) && r.unit != nil && r.unit.state == unitStarting
 }
 
 // removeRuns removes the worker's runs for which gone returns true, and stops the units of
