Wait for late leases of runs that no report has shown

Cause: an answered start does not tell which incarnation of the worker has executed it. If the worker had restarted unnoticed, a hold from before was executed late by the new incarnation, whose clock is far before the hold's deadline, and extended the lease of the new run beyond the time for which the holder waited. With the worker cut off, the task ran twice. A successor had the same fault, since the unit was recorded as settled.

Change: when a silent worker's lease has expired, a run that no report of its incarnation has shown counts as present until the latest own order without an answer that extends the lease can't be executed any more, and a lease longer. It goes the way of late starts. It is gone sooner if the worker reports without it, or if the list shows that no process of the worker is up.

--- a/internal/workload/reducer/records.go
+++ b/internal/workload/reducer/records.go
@@ -199,6 +199,10 @@
 	Begun bool `cbor:",omitempty"`
 	// Settled is set once no start of the run that got no answer can be executed any more.
 	Settled bool `cbor:",omitempty"`
+	// Unreported is set for a settled unit with a task that no report of its worker has shown
+	// yet, if orders without an answer may extend the worker's lease. The worker may have
+	// restarted before the start, unknown to the holder, and its lease then last for longer.
+	Unreported bool `cbor:",omitempty"`
 	// SettlesMS is for how much longer, at most, starts of a unit that runs could be executed
 	// when the record was written, 0 if that is not known.
 	SettlesMS int64 `cbor:",omitempty"`
--- a/internal/workload/scheduler/late_starts.go
+++ b/internal/workload/scheduler/late_starts.go
@@ -179,10 +179,13 @@
 // granted the worker or that an order may extend late. No lease is waited for if the worker was
 // not up for the last start.
 func (m *Model) lateStartSettled(r *run) bool {
+	w := m.workers[r.worker.ID]
+	if m.lateLeaseOver(r, w) {
+		return true
+	}
 	if m.now.MonoMS < r.lateStartUntilMS {
 		return false
 	}
-	w := m.workers[r.worker.ID]
 	if w != nil && w.answeredInTerm && w.reportAsOfMS >= r.lateStartUntilMS {
 		return w.runs.get(r.ref) == nil
 	}
@@ -248,12 +251,15 @@
 
 // recordSettledUnits proposes the records of running units that callers don't know to have
 // begun, or whose starts have all been executed or can't be any more, so that a successor need
-// not wait for them. The records go with the renewal of the term.
+// not wait for them, and of settled units whose runs may outlive their lease. The records go with the renewal of the term.
 func (m *Model) recordSettledUnits() {
 	m.unsettled = slices.DeleteFunc(m.unsettled, func(u *unit) bool {
-		if u.state != unitRunning || u.step.job.ended || u.record.Settled {
+		if u.state != unitRunning || u.step.job.ended {
 			return true
 		}
+		if u.record.Settled {
+			return m.recordUnreported(u)
+		}
 		if m.mayStartLate(u) {
 			if u.beginUnrecorded {
 				u.record.SettlesMS = m.settlesMS(u)
@@ -262,9 +268,9 @@
 			}
 			return false
 		}
-		u.record.Settled, u.record.SettlesMS = true, 0
+		u.record.Settled, u.record.Unreported, u.record.SettlesMS = true, m.mayOutliveLease(u), 0
 		m.recordUnit(u)
-		return true
+		return m.recordUnreported(u)
 	})
 }
 
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -220,7 +220,8 @@
 	lateStarts []*run
 	// lateStartCounts counts them for each worker that has any.
 	lateStartCounts map[string]int
-	// unsettled are running units that are not recorded as settled.
+	// unsettled are running units that are not recorded as settled, or whose runs were not all
+	// reported yet.
 	unsettled []*unit
 	// fleet lists the workers by ID.
 	fleet []*worker
--- a/internal/workload/scheduler/runs.go
+++ b/internal/workload/scheduler/runs.go
@@ -46,6 +46,9 @@
 	// barredIn is the incarnation of the worker that rejects starts of the run, because it
 	// has confirmed a stop of the run or has ended it.
 	barredIn int64
+	// leaseOnly is set once a removed run's unit waits only until its lease has expired: the
+	// starts were all executed or can't be any more.
+	leaseOnly bool
 	// blocked is the unit that waits until no start of the removed run can be executed.
 	blocked *unit
 	// orderInFlight is set while an order awaits its answer. orderQueued is set while one
--- a/internal/workload/scheduler/units.go
+++ b/internal/workload/scheduler/units.go
@@ -129,7 +129,7 @@
 // placeUnit records the placement of the unit. Its tasks start once the record is
 // durable.
 func (m *Model) placeUnit(u *unit, workers []*worker) {
-	u.record.Term, u.record.Phase, u.record.Settled, u.record.SettlesMS = m.term.number, reducer.PhasePlaced, false, 0
+	u.record.Term, u.record.Phase, u.record.Settled, u.record.Unreported, u.record.SettlesMS = m.term.number, reducer.PhasePlaced, false, false, 0
 	u.record.Run++
 	u.record.Workers, u.record.Incarnations, u.record.LateStarts = nil, nil, nil
 	u.failed, u.termUnrecorded, u.stopReason, u.runningSinceMS, u.heldBackSinceMS = false, false, "", 0, 0
@@ -172,7 +172,7 @@
 	if !u.record.Begun {
 		u.record.Begun, u.beginUnrecorded = true, true
 	}
-	if !u.record.Settled {
+	if !u.record.Settled || u.record.Unreported {
 		m.unsettled = append(m.unsettled, u)
 	}
 	for _, r := range u.runs {
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -174,6 +174,7 @@
 	for _, w := range slices.Clone(m.fleet) {
 		if w.mayRunTasks() && m.now.MonoMS > w.leaseEndMS {
 			m.countCrash(w, false, nil)
+			m.awaitLateLeases(w)
 			m.removeAllRuns(w, "its lease expired without an answer")
 		}
 		if !m.listedRecently(w) && w.runs.len() == 0 && m.lateStartCounts[w.ID] == 0 && !w.holdInFlight && m.now.MonoMS >= w.lateConfirmationUntilMS {
