Don't let one unanswered start delay the others of its worker

Cause: a due confirmation was withheld while any start was in flight, and after four holds (about 0.25 s) the worker's starts waited for it.

Change: a start in flight for longer than an answered one takes (300 ms) counts as a late one; the confirmation then needs a report that is later and at most 50 ms old. Starts wait only once a confirmation was withheld for 800 ms.

--- a/internal/workload/scheduler/confirmations.go
+++ b/internal/workload/scheduler/confirmations.go
@@ -11,12 +11,13 @@
 	// freshReportMS is how old the report before a confirmation may be while an unanswered
 	// start may be executed at any time: a tick.
 	freshReportMS = 50
-	// maxWithheldConfirmations is how many holds in a row may go without a due confirmation
-	// because of new starts. From then on the worker's starts wait, so that ends are
-	// confirmed on busy workers too.
-	maxWithheldConfirmations = 4
-	// withheldPauseMS is the pause after the second such hold, which doubles with each one.
-	withheldPauseMS = 20
+	// maxWithheldMS is for how long a due confirmation is withheld because of new starts. From
+	// then on the worker's starts wait, so that ends are confirmed on busy workers too.
+	maxWithheldMS = 800
+	// withheldPauseMS is the pause after the second hold without a due confirmation. It doubles
+	// with each one, at most maxWithheldShift times.
+	withheldPauseMS  = 20
+	maxWithheldShift = 3
 )
 
 // confirmationDue reports whether the worker has to be told to forget further ends.
@@ -31,14 +32,15 @@
 	if slices.ContainsFunc(w.runs.list, (*run).mayHaveStartedUnseen) {
 		return false
 	}
-	return m.now.MonoMS-w.clockAtMS <= freshReportMS || m.unansweredStarts(w) == 0
+	return m.now.MonoMS-w.clockAtMS <= freshReportMS || m.unansweredStarts(w) == 0 && !slices.ContainsFunc(w.runs.list, func(r *run) bool { return r.startInFlight })
 }
 
 // mayHaveStartedUnseen reports whether the run may have been started since the latest report
 // of its worker.
 func (r *run) mayHaveStartedUnseen() bool {
 	if r.startInFlight {
-		return true
+		// After the longest way of an answered order, the start is a late one.
+		return r.worker.reportAsOfMS <= r.orderSentMS+maxOrderWayMS
 	}
 	return !r.reported() && r.lastAnswerMS >= r.worker.reportAsOfMS
 }
@@ -57,6 +59,9 @@
 		w.withheldConfirmations = 0
 		cmd.ConfirmedEnd = w.confirmedEnd
 	default:
+		if w.withheldConfirmations == 0 {
+			w.withheldSinceMS = m.now.MonoMS
+		}
 		w.withheldConfirmations++
 		cmd.WaitMS = 0
 	}
@@ -67,12 +72,12 @@
 	if w.withheldConfirmations <= 1 || m.mayConfirm(w) {
 		return 0
 	}
-	return withheldPauseMS << min(w.withheldConfirmations-2, maxWithheldConfirmations)
+	return withheldPauseMS << min(w.withheldConfirmations-2, maxWithheldShift)
 }
 
 // confirmationDelaysStarts reports whether starts to the worker have to wait: until a due
 // confirmation is on its way, or after a restart until a confirmation by the numbers of an
 // earlier incarnation can't be executed any more.
 func (m *Model) confirmationDelaysStarts(w *worker) bool {
-	return m.now.MonoMS < w.startsBarredUntilMS || w.withheldConfirmations >= maxWithheldConfirmations && w.confirmationDue()
+	return m.now.MonoMS < w.startsBarredUntilMS || w.withheldConfirmations > 0 && w.confirmationDue() && m.now.MonoMS-w.withheldSinceMS >= maxWithheldMS
 }
--- a/internal/workload/scheduler/confirmations_test.go
+++ b/internal/workload/scheduler/confirmations_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"daisyhead/internal/workload/scheduler"
 )
 
 // TestEndsAreConfirmedDespiteSteadyStarts guards against ends that are never confirmed on a
@@ -36,3 +38,37 @@
 		sim.expectNoViolations(t)
 	}
 }
+
+// TestWithheldConfirmationDelaysNoStarts guards against starts that wait because a confirmation
+// is withheld while another start to their worker gets no answer.
+func TestWithheldConfirmationDelaysNoStarts(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.addWorkers(1, 1)
+	sim.startAll()
+	sim.run(3000)
+	f := sim.workers[sim.workerIDs[0]]
+	for n := range 40 {
+		sim.submit("batch", "b", fmt.Sprintf("bb%014x", n), independentTasks(32, 1, 200+int64(7*n)))
+	}
+	sim.run(8000)
+	lateSentMS := int64(0)
+	sim.lateOrder = func(_ string, c scheduler.Command) (delayMS int64, late bool) {
+		if _, isStart := c.(scheduler.StartCmd); isStart && lateSentMS == 0 {
+			lateSentMS = sim.nowMS
+			return maxOrderDelayMS, true
+		}
+		return 0, false
+	}
+	sim.run(10000)
+	lastMS, longestMS := lateSentMS, int64(0)
+	for _, startMS := range f.startTimesMS {
+		if startMS > lateSentMS && startMS < lateSentMS+requestTimeoutMS {
+			longestMS = max(longestMS, startMS-lastMS)
+			lastMS = startMS
+		}
+	}
+	longestMS = max(longestMS, lateSentMS+requestTimeoutMS-lastMS)
+	if lateSentMS == 0 || longestMS > 250 {
+		t.Errorf("after a late start at %d ms, nothing started on its worker for %d ms", lateSentMS, longestMS)
+	}
+}
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -81,6 +81,8 @@
 	// withheldConfirmations counts the latest holds in a row that went without a due
 	// confirmation.
 	withheldConfirmations int
+	// withheldSinceMS is when the first of them was sent.
+	withheldSinceMS int64
 	// startsBarredUntilMS is until when a confirmation for an earlier incarnation may be
 	// executed by the present one.
 	startsBarredUntilMS int64
