--- a/internal/workload/scheduler/limits.go
+++ b/internal/workload/scheduler/limits.go
@@ -62,15 +62,34 @@
 	}
 }
 
-// accountLateStart updates the accounts for a run in lateStarts.
+// accountLateStart updates the accounts for a run in lateStarts. One whose worker rejects it, or
+// has no process that is up, does not count: only a restart of the worker under its ID could
+// execute it.
 func (m *Model) accountLateStart(r *run) {
 	c := accountant.Late
-	if r.barredIn != 0 && r.barredIn == r.worker.incarnation && r.worker.answered {
+	if r.barredIn != 0 && r.barredIn == r.worker.incarnation && r.worker.answered || m.down(r.worker.ID) {
 		c = accountant.Barred
 	}
 	m.accountAs(r, c)
 }
 
+// down reports whether no process of the worker was up as of the latest list.
+func (m *Model) down(worker string) bool {
+	w, known := m.workers[worker]
+	if !known {
+		// A worker that is neither listed nor has runs is forgotten.
+		return m.listAsOfMS >= m.listSinceMS+relistGraceMS
+	}
+	return m.notUpSince(w, m.listAsOfMS-maxListingMS)
+}
+
+// reaccountLateStarts updates the accounts after the list of workers was read.
+func (m *Model) reaccountLateStarts() {
+	for _, r := range m.lateStarts {
+		m.accountLateStart(r)
+	}
+}
+
 // setQuota sets which workspace a run without a unit counts for, and how much.
 func (m *Model) setQuota(r *run) {
 	id := r.ref.Unit
@@ -441,11 +460,11 @@
 }
 
 // releaseLeft forgets the runs that may be left on workers that have answered in the term, whose
-// reports show them, or whose leases have expired.
+// reports show them, whose leases have expired, or that are not up.
 func (m *Model) releaseLeft() {
 	m.left = slices.DeleteFunc(m.left, func(r *leftRuns) bool {
 		w := m.workers[r.worker]
-		if m.now.MonoMS < r.untilMS && (w == nil || !w.answeredInTerm) {
+		if m.now.MonoMS < r.untilMS && !m.down(r.worker) && !(w != nil && w.answeredInTerm) {
 			return false
 		}
 		m.accounts.Move(r.workspace, accountant.Unrecorded, accountant.None, r.amount)
--- a/internal/workload/scheduler/model.go
+++ b/internal/workload/scheduler/model.go
@@ -232,7 +232,8 @@
 	lateStarts []*run
 	// lateStartCounts counts them for each worker that has any.
 	lateStartCounts map[string]int
-	// unsettled are running units that are not recorded as settled.
+	// unsettled are running units that are not recorded as settled, or whose runs were not all
+	// reported yet.
 	unsettled []*unit
 	// accounts holds what each workspace uses: its runs, its late starts and left.
 	accounts accountant.Accounts
--- a/internal/workload/scheduler/reports.go
+++ b/internal/workload/scheduler/reports.go
@@ -38,6 +38,7 @@
 		// A late confirmation would make this incarnation forget ends by the numbers of an
 		// earlier one, so no task may end here until then.
 		w.coolDown(w.lateConfirmationUntilMS)
+		w.startsBarredUntilMS = w.lateConfirmationUntilMS
 	}
 	m.barLateStarts(w)
 	present := map[TaskRef]bool{}
@@ -78,6 +79,8 @@
 // nextHoldDelayMS returns the pause before the next hold.
 func (m *Model) nextHoldDelayMS(w *worker) int64 {
 	switch {
+	case w.confirmationDue():
+		return m.confirmationDelayMS(w)
 	case len(w.ends) > 0:
 		return confirmWaitMS
 	case m.holdWaitMS(w) == 0:
@@ -123,7 +126,7 @@
 		r.bars = false
 		m.account(r)
 	}
-	r.percent = p.Percent
+	r.percent, r.reportedIn = p.Percent, w.incarnation
 	m.markPresent(r)
 	m.checkStarted(r.unit)
 	if r.unit != nil {
--- a/internal/workload/scheduler/workers.go
+++ b/internal/workload/scheduler/workers.go
@@ -80,6 +80,14 @@
 	confirmingEnd, confirmationAnswered int64
 	// lateConfirmationUntilMS is until when an unanswered confirmation may be executed.
 	lateConfirmationUntilMS int64
+	// withheldConfirmations counts the latest holds in a row that went without a due
+	// confirmation.
+	withheldConfirmations int
+	// withheldSinceMS is when the first of them was sent.
+	withheldSinceMS int64
+	// startsBarredUntilMS is until when a confirmation for an earlier incarnation may be
+	// executed by the present one.
+	startsBarredUntilMS int64
 }
 
 // worker returns the worker with the ID, and creates it if it is not known. A worker that
@@ -150,6 +158,7 @@
 		m.listSinceMS = asOfMS
 	}
 	m.listAsOfMS = max(m.listAsOfMS, asOfMS)
+	m.reaccountLateStarts()
 }
 
 // maxListingMS is how long after its start a worker is listed.
@@ -170,6 +179,7 @@
 	for _, w := range slices.Clone(m.fleet) {
 		if w.mayRunTasks() && m.now.MonoMS > w.leaseEndMS {
 			m.countCrash(w, false, nil)
+			m.awaitLateLeases(w)
 			m.removeAllRuns(w, "its lease expired without an answer")
 		}
 		if !m.listedRecently(w) && w.runs.len() == 0 && m.lateStartCounts[w.ID] == 0 && !w.holdInFlight && m.now.MonoMS >= w.lateConfirmationUntilMS {
@@ -222,10 +232,8 @@
 	cmd := HoldCmd{OrderID: orderID, Worker: w.ID, Address: w.Address, Sequence: w.holdSequence, Term: m.term.number}
 	if w.answered && w.holdFailures == 0 {
 		cmd.WaitMS = m.holdWaitMS(w)
+		m.addConfirmation(w, &cmd)
 		w.holdWaits = cmd.WaitMS > 0
-		if w.confirmedEnd > w.confirmationAnswered {
-			cmd.ConfirmedEnd = w.confirmedEnd
-		}
 		if m.termConfirmed() && w.runs.len() > 0 && !w.unreachedRecorded {
 			cmd.DeadlineMS = m.grantLease(w)
 		}
@@ -367,7 +375,7 @@
 	for _, e := range p.Ended {
 		listed[m.resolveUnit(e.Task)] = true
 	}
-	kept := (*run).outlivesRestart
+	kept := func(r *run) bool { return r.outlivesRestart(m.now.MonoMS) }
 	for _, r := range w.runs.list {
 		listed[r.ref] = listed[r.ref] || kept(r)
 	}
@@ -377,9 +385,10 @@
 
 // outlivesRestart reports whether the run is still being started although its worker has
 // restarted: nothing tells that it was present before, and a repetition of its start, or a late
-// execution, starts the same run.
-func (r *run) outlivesRestart() bool {
-	return r.state == runStartSent && (r.startUnanswered || r.orderInFlight) && r.unit != nil && r.unit.state == unitStarting
+// execution, starts the same run. No start is repeated while a confirmation for an earlier
+// incarnation may make the worker forget the end of the run.
+func (r *run) outlivesRestart(nowMS int64) bool {
+	return nowMS >= r.worker.lateConfirmationUntilMS && r.state == runStartSent && (r.startUnanswered || r.orderInFlight) && r.unit != nil && r.unit.state == unitStarting
 }
 
 // removeRuns removes the worker's runs for which gone returns true, and stops the units of
