scheduler: ask busy workers sooner while a confirmation is withheld

And a gang's runs were recorded as unreported for 5 s, since its workers are asked for reports early, so a gang of a lost worker waited for the late leases. Change: at most 80 ms; the record of a gang follows the first report. Measured: TestWithheldConfirmationDelaysNoStarts and TestLostTasksRestartDespiteUnreachableLedger pass again, with the rest of the package.

--- a/internal/workload/scheduler/confirmations.go
+++ b/internal/workload/scheduler/confirmations.go
@@ -17,7 +17,7 @@
 	// withheldPauseMS is the pause after the second hold without a due confirmation. It doubles
 	// with each one, at most maxWithheldShift times.
 	withheldPauseMS  = 20
-	maxWithheldShift = 3
+	maxWithheldShift = 2
 )
 
 // confirmationDue reports whether the worker has to be told to forget further ends.
--- a/internal/workload/scheduler/late_leases.go
+++ b/internal/workload/scheduler/late_leases.go
@@ -67,15 +67,17 @@
 	return slices.ContainsFunc(u.runs, func(r *run) bool { return !r.reported() && m.now.MonoMS < m.ownLateGrantMS(r.worker) })
 }
 
-// reportedRecordAfterMS is for how long a unit has to run until a further record says that its
-// runs were reported. Most tasks end before, and need none.
+// reportedRecordAfterMS is for how long a single task has to run until a further record says that
+// its run was reported. Most tasks end before, and need none. Gangs are recorded at once: few
+// records cover many runs, and their workers are asked for reports early.
 const reportedRecordAfterMS = 5000
 
 // recordUnreported proposes the record of a settled unit if that does not say whether a run
 // may outlive its lease. It returns whether that can't change any more.
 func (m *Model) recordUnreported(u *unit) (final bool) {
 	unreported := m.mayOutliveLease(u)
-	if unreported != u.record.Unreported && (unreported || m.now.MonoMS-u.runningSinceMS >= reportedRecordAfterMS) {
+	due := unreported || u.size() > 1 || m.now.MonoMS-u.runningSinceMS >= reportedRecordAfterMS
+	if unreported != u.record.Unreported && due {
 		u.record.Unreported = unreported
 		m.recordUnit(u)
 	}
