--- a/internal/workload/assembler/slow_store_test.go
+++ b/internal/workload/assembler/slow_store_test.go
@@ -176,8 +176,7 @@
 // while the store is slow for all, against a holder that is replaced later than before if it alone
 // is cut off, against callers that are held until their deadline although nothing of their
 // submission can have been written, and against refusals as not run that are not true. The bounds
-// lie between what was measured before instances knew the latency of the store and since then; see
-// docs/design/slow-store.md.
+// tell a fleet that saturates the partition from one that does not; see docs/design/slow-store.md.
 func TestStoreFaults(t *testing.T) {
 	const never = time.Hour
 	for _, c := range []struct {
--- a/internal/workload/scheduler/slow_store.go
+++ b/internal/workload/scheduler/slow_store.go
@@ -141,8 +141,8 @@
 	m.heldStores = nil
 }
 
-// proposed reports whether a submission of the same job is on its way to the ledger. What
-// another call for it is told must hold for that one too.
+// proposed reports whether a submission of the same job is on its way to the ledger. A refusal of
+// another call for the job would not be true then.
 func (m *Model) proposed(r reducer.Record) bool {
 	id, _ := reducer.CallerRecordJobID(r)
 	return reducer.IsSubmission(r) && m.jobs[id] != nil
