--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -53,6 +54,8 @@
 	receiving chan struct{}
 	// timeout limits the time in which a body is received.
 	timeout time.Duration
+	// reserved is the memory that is reserved at present.
+	reserved *atomic.Int64
 }
 
 // newBodyPool returns a pool, nil if there is no limit.
@@ -65,7 +68,7 @@
 		receiving = unlimitedReceiving
 	}
 	class := func(size int64, timeout time.Duration) bodyClass {
-		return bodyClass{memory: semaphore.NewWeighted(size), size: size, timeout: timeout, receiving: make(chan struct{}, receiving)}
+		return bodyClass{memory: semaphore.NewWeighted(size), size: size, timeout: timeout, receiving: make(chan struct{}, receiving), reserved: new(atomic.Int64)}
 	}
 	smallTimeout := l.BodyTimeout
 	if l.HeadTimeout > 0 {
@@ -106,7 +109,11 @@
 		received()
 		return nil, nil, false
 	}
-	return received, func() { c.memory.Release(cost) }, true
+	c.reserved.Add(cost)
+	return received, func() {
+		c.reserved.Add(-cost)
+		c.memory.Release(cost)
+	}, true
 }
 
 // handler serves requests whose connection has not been closed in the meantime and whose body
--- a/internal/entry/gatekeeper/gatekeeper_test.go
+++ b/internal/entry/gatekeeper/gatekeeper_test.go
@@ -101,6 +101,17 @@
 	t.Fatalf("not %d connections are %s", count, phase)
 }
 
+// awaitMemory waits until the requests with a small or a large body have the memory reserved.
+func (s *server) awaitMemory(t *testing.T, size string, bytes int) {
+	t.Helper()
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if s.metric(t, "daisyhead_body_memory_bytes", size) == float64(bytes) {
+			return
+		}
+	}
+	t.Fatalf("not %d bytes are reserved for %s bodies", bytes, size)
+}
+
 // metric returns the value of a metric with the given last label.
 func (s *server) metric(t *testing.T, name, label string) float64 {
 	t.Helper()
@@ -222,9 +233,8 @@
 	}
 	s.await(t, "active", 0)
 	slow := post(64<<10, "x")
-	s.await(t, "active", 1)
-	// The memory is reserved shortly after the connection has become active.
-	time.Sleep(100 * time.Millisecond)
+	// The slow body takes all of the memory for large ones.
+	s.awaitMemory(t, "large", 192<<10)
 	if got := status(t, post(64<<10, "")); got != http.StatusServiceUnavailable {
 		t.Errorf("a body without memory got status %d, want 503", got)
 	}
@@ -250,8 +260,7 @@
 	for range 8 {
 		slow = append(slow, post(10, "x"))
 	}
-	s.await(t, "active", 8)
-	time.Sleep(100 * time.Millisecond)
+	s.awaitMemory(t, "small", 8*4<<10)
 	for range 12 {
 		if got := status(t, post(10, "x")); got != http.StatusServiceUnavailable {
 			t.Errorf("a small body beside slow ones got status %d, want 503", got)
--- a/internal/entry/gatekeeper/metrics.go
+++ b/internal/entry/gatekeeper/metrics.go
@@ -5,6 +5,7 @@
 var (
 	connectionsDesc = prometheus.NewDesc("daisyhead_connections", "Open connections of a listener by what they are used for.", []string{"listener", "phase"}, nil)
 	limitDesc       = prometheus.NewDesc("daisyhead_connections_limit", "Largest number of open connections of a listener.", []string{"listener"}, nil)
+	memoryDesc      = prometheus.NewDesc("daisyhead_body_memory_bytes", "Memory that is reserved for requests with a small or a large body.", []string{"listener", "size"}, nil)
 	refusedDesc     = prometheus.NewDesc("daisyhead_clients_refused_total", "Connections closed and connections or requests refused by a listener, by reason.", []string{"listener", "reason"}, nil)
 )
 
@@ -15,6 +16,7 @@
 func (Collectors) Describe(descs chan<- *prometheus.Desc) {
 	descs <- connectionsDesc
 	descs <- limitDesc
+	descs <- memoryDesc
 	descs <- refusedDesc
 }
 
@@ -36,6 +38,10 @@
 		metrics <- prometheus.MustNewConstMetric(connectionsDesc, prometheus.GaugeValue, float64(m.count), g.name, m.phase)
 	}
 	metrics <- prometheus.MustNewConstMetric(limitDesc, prometheus.GaugeValue, float64(g.limits.Connections), g.name)
+	if g.bodies != nil {
+		metrics <- prometheus.MustNewConstMetric(memoryDesc, prometheus.GaugeValue, float64(g.bodies.small.reserved.Load()), g.name, "small")
+		metrics <- prometheus.MustNewConstMetric(memoryDesc, prometheus.GaugeValue, float64(g.bodies.large.reserved.Load()), g.name, "large")
+	}
 	for _, r := range reasons {
 		metrics <- prometheus.MustNewConstMetric(refusedDesc, prometheus.CounterValue, float64(g.counts[r]), g.name, r)
 	}
