gatekeeper: don't count connections with a refused request as busy

What callers saw: beside clients with heads over the limit or without end, nearly every ordinary request got 503, or its connection was closed.

Cause: http.Server keeps a connection for half a second after it has refused a head with 431, or after a body over the limit, so that the client can read the response. The gatekeeper took these connections for requests in progress, which are never closed to make room.

Change: a head over the limit is refused by the gatekeeper, which keeps the connection open for the same time without a goroutine of the server and closes it first when the server is full. A connection whose sending side the server closes counts as idle. New reason HeadBytes in log and metrics. The size from which a head is refused is unchanged.

Evidence: TestRefusedHeadMakesRoom fails before (503 instead of 200) and passes now.

--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -120,7 +120,7 @@
 // is within the limits. It refuses the others before anything of the body was read.
 func (g *Gatekeeper) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil && g.closed(c) {
+		if c := connOf(r); c != nil && g.closed(c) {
 			// The client gets no response, so the request must have no effect.
 			panic(http.ErrAbortHandler)
 		}
@@ -160,6 +160,12 @@
 	h.ServeHTTP(w, r)
 }
 
+// connOf returns the connection of a request, nil if it is not one of a gatekeeper.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
 // refuseBody refuses a request without reading its body, and closes the connection. Once the
 // response is sent, the connection is one of those that are closed first.
 func (g *Gatekeeper) refuseBody(w http.ResponseWriter, r *http.Request, status int, reason, text string) {
@@ -172,7 +178,7 @@
 	// An error means that the client has closed the connection.
 	_ = json.NewEncoder(w).Encode(map[string]string{"error": text})
 	_ = control.Flush()
-	if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
+	if c := connOf(r); c != nil {
 		g.move(c, phaseIdle)
 	}
 }
--- a/internal/entry/gatekeeper/conn.go
+++ b/internal/entry/gatekeeper/conn.go
@@ -15,7 +15,7 @@
 const (
 	// phaseReading connections are receiving the head of a request, or wait for the first one.
 	phaseReading phase = iota
-	// phaseIdle connections are between two requests.
+	// phaseIdle connections are between two requests, or their last response has been sent.
 	phaseIdle
 	// phaseActive connections have a request in progress.
 	phaseActive
@@ -27,8 +27,19 @@
 // requests and reads no responses keeps its connection for ever.
 const writeTimeout = 30 * time.Second
 
-// errHeadLines is the error of a read in a head with too many lines.
-var errHeadLines = errors.New("the head of the request has too many lines")
+// headSlop is what http.Server reads of a head beyond its limit.
+const headSlop = 4096
+
+var (
+	// errHeadLines is the error of a read in a head with too many lines.
+	errHeadLines = errors.New("the head of the request has too many lines")
+	// errHeadBytes is the error of a read in a head that is too long. http.Server sends no
+	// response of its own after errors of reads.
+	errHeadBytes = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the head of the request is too long")}
+)
+
+// headRefusal is the response to a head that is too long.
+const headRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 // conn is an admitted connection.
 type conn struct {
@@ -38,26 +49,48 @@
 	inHead atomic.Bool
 	// head is only used between two changes of inHead, by one goroutine at a time.
 	head headScanner
+	// encrypted is set before the first read if the content is encrypted. Heads are not scanned
+	// then.
+	encrypted bool
 
-	// phase and element, the place in the gatekeeper's list, are guarded by the gatekeeper.
+	// The gatekeeper guards the following fields. element is the place in one of its lists.
 	phase   phase
 	element *list.Element
+	// lingers is set once the last response was sent and the gatekeeper, not the server, will close
+	// the connection. linger is the timer that does it.
+	lingers bool
+	linger  *time.Timer
 }
 
-// Read implements net.Conn. It fails if a head has too many lines.
+// Read implements net.Conn. It fails if a head is too long or has too many lines.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
-	if n == 0 || !c.inHead.Load() {
+	if n == 0 {
+		return n, err
+	}
+	if !c.inHead.Load() {
 		return n, err
 	}
 	if c.head.bytes == 0 {
 		c.gate.move(c, phaseReading)
 	}
+	if c.encrypted {
+		c.head.bytes += n
+		return n, err
+	}
 	c.head.add(p[:n])
-	if limit := c.gate.limits.HeadLines; limit > 0 && c.head.lines > limit {
+	limits := c.gate.limits
+	if limits.HeadLines > 0 && c.head.lines > limits.HeadLines {
 		c.gate.count(reasonHeadLines)
 		return 0, errHeadLines
 	}
+	if limits.HeadBytes > 0 && !c.head.complete && c.head.bytes >= limits.HeadBytes+headSlop {
+		c.gate.count(reasonHeadBytes)
+		if c.gate.beginLinger(c) {
+			c.gate.respondAndLinger(c, c, headRefusal)
+		}
+		return 0, errHeadBytes
+	}
 	return n, err
 }
 
@@ -69,14 +102,22 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that lingers stays open.
 func (c *conn) Close() error {
-	c.gate.move(c, phaseClosed)
+	if c.gate.release(c) {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
-// CloseWrite closes the sending side, which http.Server does before it closes a connection.
+// CloseWrite closes the sending side. http.Server does so after the last response, and keeps the
+// connection for some time, in which the gatekeeper may close it.
 func (c *conn) CloseWrite() error {
+	c.gate.move(c, phaseIdle)
+	return c.closeWrite()
+}
+
+func (c *conn) closeWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -47,14 +47,20 @@
 	reasonHead        = "Head"
 	reasonFull        = "Full"
 	reasonHeadLines   = "HeadLines"
+	reasonHeadBytes   = "HeadBytes"
 	reasonBodyTooLong = "BodyTooLong"
 	reasonBodyMemory  = "BodyMemory"
 )
 
-var reasons = []string{reasonIdle, reasonHead, reasonFull, reasonHeadLines, reasonBodyTooLong, reasonBodyMemory}
+var reasons = []string{reasonIdle, reasonHead, reasonFull, reasonHeadLines, reasonHeadBytes, reasonBodyTooLong, reasonBodyMemory}
 
-// reportInterval is the least time between two log lines of a server.
-const reportInterval = 10 * time.Second
+const (
+	// reportInterval is the least time between two log lines of a server.
+	reportInterval = 10 * time.Second
+	// lingerTime is how long a connection stays open after its last response. Closing it while
+	// the client still sends would reset it, and the client might lose the response.
+	lingerTime = 500 * time.Millisecond
+)
 
 // Gatekeeper protects one server.
 type Gatekeeper struct {
@@ -111,6 +117,8 @@
 		return
 	}
 	switch s {
+	case http.StateNew:
+		inner.encrypted = net.Conn(inner) != c
 	case http.StateActive:
 		inner.inHead.Store(false)
 		g.move(inner, phaseActive)
@@ -119,15 +127,17 @@
 		inner.inHead.Store(true)
 		g.move(inner, phaseIdle)
 	case http.StateHijacked, http.StateClosed:
-		g.move(inner, phaseClosed)
+		g.release(inner)
 	}
 }
 
-// move changes a connection's phase. It does nothing once the connection is closed.
+// move changes a connection's phase. It does nothing once the connection is closed or lingers.
 func (g *Gatekeeper) move(c *conn, to phase) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.moveLocked(c, to)
+	if !c.lingers {
+		g.moveLocked(c, to)
+	}
 }
 
 func (g *Gatekeeper) moveLocked(c *conn, to phase) {
@@ -151,6 +161,50 @@
 	}
 }
 
+// release removes a connection that the server doesn't use any more, unless it lingers.
+func (g *Gatekeeper) release(c *conn) (lingers bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.lingers {
+		g.moveLocked(c, phaseClosed)
+	}
+	return c.lingers
+}
+
+// beginLinger makes the gatekeeper close the connection instead of the server, whose goroutine need
+// not wait for it. It returns false if the connection is closed.
+func (g *Gatekeeper) beginLinger(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.phase == phaseClosed {
+		return false
+	}
+	g.moveLocked(c, phaseIdle)
+	c.lingers = true
+	return true
+}
+
+// respondAndLinger sends the last response to a client after beginLinger. Its connection is closed
+// some time later, or earlier if the server is full. outer is the connection, or the encrypted one
+// on it.
+func (g *Gatekeeper) respondAndLinger(c *conn, outer net.Conn, response string) {
+	writeNow(outer, response)
+	_ = c.closeWrite()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.phase != phaseClosed {
+		c.linger = time.AfterFunc(lingerTime, func() { g.endLinger(c) })
+	}
+}
+
+// endLinger closes a connection that lingers.
+func (g *Gatekeeper) endLinger(c *conn) {
+	g.mu.Lock()
+	g.moveLocked(c, phaseClosed)
+	g.mu.Unlock()
+	c.Conn.Close()
+}
+
 // closed reports whether the gatekeeper has closed the connection.
 func (g *Gatekeeper) closed(c *conn) bool {
 	g.mu.Lock()
@@ -172,6 +226,9 @@
 			return nil
 		}
 		g.moveLocked(victim, phaseClosed)
+		if victim.linger != nil {
+			victim.linger.Stop()
+		}
 	}
 	c := &conn{Conn: raw, gate: g, phase: phaseReading}
 	c.inHead.Store(true)
@@ -242,11 +299,15 @@
 // refusal is the response to a connection that is refused. Nothing of its request was read.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// refuse closes a connection that was not admitted.
+// refuse sends the response to a connection that was not admitted, and closes it.
 func refuse(c net.Conn) {
-	// The send buffer of a new connection is empty, so the write does not wait. A client that
-	// does not get the response sees that the connection is closed.
-	_ = c.SetWriteDeadline(time.Now().Add(time.Millisecond))
-	_, _ = c.Write([]byte(refusal))
+	writeNow(c, refusal)
 	c.Close()
 }
+
+// writeNow writes a response without waiting for the client. A client that does not get it sees
+// that the connection is closed.
+func writeNow(c net.Conn, response string) {
+	_ = c.SetWriteDeadline(time.Now().Add(time.Millisecond))
+	_, _ = c.Write([]byte(response))
+}
