gatekeeper: leave no goroutine behind for a refused body

What callers saw: nothing yet; memory grew with the rate of refused requests.

Cause: http.Server keeps its goroutine for half a second after the response to a body that was announced as larger than 256 KB and not read. A full server closes such a connection to make room, but the goroutine stays, so their number has no limit: 200 refusals of a server with four connections left 199 more.

Change: the gatekeeper takes a connection over when it refuses a body, and closes it itself. The response is the same.

Evidence: TestRefusedBodiesLeaveNoGoroutines fails before (199 more goroutines, 18 allowed) and passes now.

--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -170,15 +171,28 @@
 // response is sent, the connection is one of those that are closed first.
 func (g *Gatekeeper) refuseBody(w http.ResponseWriter, r *http.Request, status int, reason, text string) {
 	g.count(reason)
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
 	w.Header().Set("Connection", "close")
 	w.Header().Set("Content-Type", "application/json")
+	// The error can't occur, since the value is a map of strings.
+	body, _ := json.Marshal(map[string]string{"error": text})
+	control := http.NewResponseController(w)
+	c := connOf(r)
+	if c != nil && g.beginLinger(c) {
+		if outer, _, err := control.Hijack(); err == nil {
+			resp := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: w.Header(), Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body))}
+			var text bytes.Buffer
+			_ = resp.Write(&text)
+			g.respondAndLinger(c, outer, text.String())
+			return
+		}
+		g.cancelLinger(c)
+	}
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
 	w.WriteHeader(status)
 	// An error means that the client has closed the connection.
-	_ = json.NewEncoder(w).Encode(map[string]string{"error": text})
+	_, _ = w.Write(body)
 	_ = control.Flush()
-	if c := connOf(r); c != nil {
+	if c != nil {
 		g.move(c, phaseIdle)
 	}
 }
--- a/internal/entry/gatekeeper/full_server_test.go
+++ b/internal/entry/gatekeeper/full_server_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"daisyhead/internal/entry/gatekeeper"
 )
 
@@ -23,3 +26,29 @@
 		}
 	}
 }
+
+// TestRefusedBodiesLeaveNoGoroutines guards against refused requests that each take memory for some
+// time after their response.
+func TestRefusedBodiesLeaveNoGoroutines(t *testing.T) {
+	const connections = 4
+	s := start(t, gatekeeper.Limits{Connections: connections, BodyBytes: 1000})
+	before := runtime.NumGoroutine()
+	var got []int
+	for range 200 {
+		c := s.dial(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1099511627776\r\n\r\n")
+		got = append(got, status(t, c))
+		c.Close()
+	}
+	goroutines := runtime.NumGoroutine() - before
+	want := make([]int, len(got))
+	for i := range want {
+		want[i] = http.StatusRequestEntityTooLarge
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+	// Each connection may have one goroutine, and another one while the server releases it.
+	if limit := 2*connections + 10; goroutines > limit {
+		t.Errorf("%d more goroutines, want %d at most", goroutines, limit)
+	}
+}
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -184,6 +184,13 @@
 	return true
 }
 
+// cancelLinger undoes beginLinger.
+func (g *Gatekeeper) cancelLinger(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.lingers = false
+}
+
 // respondAndLinger sends the last response to a client after beginLinger. Its connection is closed
 // some time later, or earlier if the server is full. outer is the connection, or the encrypted one
 // on it.
