gatekeeper: don't refuse callers because of bodies that nobody reads

What callers saw: beside clients that send bodies to the listeners for readiness and metrics, the platform's readiness checks got 503.

Cause: http.Server receives a body that the handler did not read before it sends the response, for half a second at most. Until then the connection had a request in progress and was never closed to make room.

Change: such a connection is closed first when the server is full, as soon as the handler has returned. A body that the handler has begun to read is not affected.

Evidence: TestIgnoredBodyMakesRoom fails before (503 instead of 200) and passes now.

--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -139,6 +139,7 @@
 		g.refuseBody(w, r, http.StatusRequestEntityTooLarge, reasonBodyTooLong, "the body is too large")
 		return
 	}
+	c := connOf(r)
 	body := &timedBody{ReadCloser: r.Body, control: http.NewResponseController(w), timeout: g.limits.BodyTimeout}
 	if g.bodies != nil {
 		class, size := g.bodies.classOf(r.ContentLength)
@@ -153,7 +154,13 @@
 		body.received, body.timeout = received, class.timeout
 	}
 	body.start()
-	defer body.stop()
+	defer func() {
+		body.stop()
+		if c != nil && !body.read {
+			// The server receives the body that the handler did not need before it responds.
+			g.move(c, phaseIdle)
+		}
+	}()
 	r.Body = body
 	if g.limits.BodyBytes > 0 {
 		r.Body = http.MaxBytesReader(w, body, g.limits.BodyBytes)
@@ -206,7 +213,8 @@
 	timeout time.Duration
 	// received is called at the end of the body, if it is set.
 	received func()
-	complete bool
+	// read is set once the handler reads the body, complete at its end.
+	read, complete bool
 }
 
 // start sets the deadline.
@@ -226,6 +234,7 @@
 
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (n int, err error) {
+	b.read = true
 	n, err = b.ReadCloser.Read(p)
 	if err == io.EOF && !b.complete {
 		b.complete = true
--- a/internal/entry/gatekeeper/full_server_test.go
+++ b/internal/entry/gatekeeper/full_server_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -52,3 +53,14 @@
 		t.Errorf("%d more goroutines, want %d at most", goroutines, limit)
 	}
 }
+
+// TestIgnoredBodyMakesRoom guards against a server that refuses callers because of connections
+// on which it still receives a body that the handler did not need.
+func TestIgnoredBodyMakesRoom(t *testing.T) {
+	s := start(t, gatekeeper.Limits{Connections: 1, BodyBytes: 1000, BodyTimeout: 5 * time.Second})
+	s.dial(t, "POST /ignore HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n")
+	<-s.ignored
+	if got := status(t, s.dial(t, get)); got != http.StatusOK {
+		t.Errorf("a request after it got status %d, want 200", got)
+	}
+}
--- a/internal/entry/gatekeeper/gatekeeper_test.go
+++ b/internal/entry/gatekeeper/gatekeeper_test.go
@@ -29,10 +29,13 @@
 	e.lines = append(e.lines, fmt.Sprint(name, fields))
 }
 
-// server is a protected server whose requests for /wait end once release is closed.
+// server is a protected server. Requests for /wait end once release is closed, those for /ignore don't
+// read their body.
 type server struct {
 	address string
 	release chan struct{}
+	// ignored is closed by a request for /ignore.
+	ignored chan struct{}
 	gate    *gatekeeper.Gatekeeper
 	log     *events
 }
@@ -43,11 +46,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{address: listener.Addr().String(), release: make(chan struct{}), log: &events{}}
+	s := &server{address: listener.Addr().String(), release: make(chan struct{}), ignored: make(chan struct{}), log: &events{}}
 	s.gate = gatekeeper.New("Test", l, s.log)
 	h := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/wait" {
+		switch r.URL.Path {
+		case "/wait":
 			<-s.release
+		case "/ignore":
+			close(s.ignored)
+			return
 		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
