gatekeeper: give clients time for a head, and read what has arrived

What callers saw: beside clients that return at once, ordinary connections were closed without a response: up to 17 of 20 beside 600 silent clients on the readiness listener.

Cause: a full server closed the oldest connection without a whole head at once. At a high rate of new connections that is one whose head has arrived but was not read yet, or one that was established less than a millisecond before.

Change: a connection is closed for its head only 10 ms after it began to wait, and only if nothing of it has arrived that the server has not looked at (TCP_INFO). Until one can be closed, new connections wait in the listener's queue, in their order; the server refuses them with 503 if it has admitted none for 750 ms or if they have waited for a second. At most 512 closed connections may still have a goroutine of the server.

Evidence: TestArrivedHeadIsNotClosed (no response) and TestNewConnectionHasTimeForItsHead (closed after 0.2 ms) fail before and pass now.

--- a/internal/entry/gatekeeper/conn.go
+++ b/internal/entry/gatekeeper/conn.go
@@ -4,9 +4,11 @@
 	"container/list"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // phase is what a connection is used for.
@@ -49,17 +51,25 @@
 	inHead atomic.Bool
 	// head is only used between two changes of inHead, by one goroutine at a time.
 	head headScanner
+	// headComplete is set between the end of a head and the begin of its request.
+	headComplete atomic.Bool
 	// encrypted is set before the first read if the content is encrypted. Heads are not scanned
 	// then.
 	encrypted bool
+	// readBytes is the number of bytes whose reads have returned.
+	readBytes atomic.Int64
 
 	// The gatekeeper guards the following fields. element is the place in one of its lists.
 	phase   phase
 	element *list.Element
+	// since is when the phase began.
+	since time.Time
 	// lingers is set once the last response was sent and the gatekeeper, not the server, will close
 	// the connection. linger is the timer that does it.
 	lingers bool
 	linger  *time.Timer
+	// evicted is set while the server has yet to notice that the gatekeeper closed the connection.
+	evicted bool
 }
 
 // Read implements net.Conn. It fails if a head is too long or has too many lines.
@@ -68,6 +78,8 @@
 	if n == 0 {
 		return n, err
 	}
+	received := n
+	defer func() { c.readBytes.Add(int64(received)) }()
 	if !c.inHead.Load() {
 		return n, err
 	}
@@ -79,6 +91,7 @@
 		return n, err
 	}
 	c.head.add(p[:n])
+	c.headComplete.Store(c.head.complete)
 	limits := c.gate.limits
 	if limits.HeadLines > 0 && c.head.lines > limits.HeadLines {
 		c.gate.count(reasonHeadLines)
@@ -124,6 +137,42 @@
 	return nil
 }
 
+// unread returns the number of bytes that have arrived but were not looked at, 0 if it is not known.
+func (c *conn) unread() (n int64) {
+	if info := c.tcpInfo(); info != nil {
+		n = max(int64(info.Bytes_received)-c.readBytes.Load(), 0)
+	}
+	return n
+}
+
+// queueTime returns how long ago the connection was established or, if the client has sent anything,
+// received the last bytes, 0 if it is not known. For a new connection that is how long it has waited
+// to be accepted.
+func (c *conn) queueTime() (d time.Duration) {
+	if info := c.tcpInfo(); info != nil {
+		d = time.Duration(info.Last_data_recv) * time.Millisecond
+	}
+	return d
+}
+
+// tcpInfo returns what the kernel knows of the connection, nil if it can't be asked.
+func (c *conn) tcpInfo() (info *unix.TCPInfo) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err != nil {
+			info = nil
+		}
+	})
+	return info
+}
+
 // headScanner counts the lines of a head. A parsed head needs memory for each of its lines,
 // fifteen times their size if they are short.
 type headScanner struct {
--- a/internal/entry/gatekeeper/full_server_test.go
+++ b/internal/entry/gatekeeper/full_server_test.go
@@ -1,6 +1,7 @@
 package gatekeeper_test
 
 import (
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"daisyhead/internal/entry/gatekeeper"
 )
@@ -28,6 +30,82 @@
 	}
 }
 
+// slowServer is a connection whose bytes have arrived, but are read by the server only once ready
+// is closed.
+type slowServer struct {
+	*net.TCPConn
+	ready chan struct{}
+}
+
+func (c slowServer) Read(p []byte) (int, error) {
+	<-c.ready
+	return c.TCPConn.Read(p)
+}
+
+// TestArrivedHeadIsNotClosed guards against a full server that closes the connection of a caller
+// whose head it has not read yet.
+func TestArrivedHeadIsNotClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	s := &server{address: listener.Addr().String()}
+	g := gatekeeper.New("Test", gatekeeper.Limits{Connections: 2}, nil)
+	h := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	g.Protect(h)
+	conns := make(chan net.Conn)
+	go func() { _ = h.Serve(g.Listener(scriptedListener{listener, conns})) }()
+	defer h.Close()
+	accept := func(text string) (client net.Conn, accepted *net.TCPConn) {
+		client = s.dial(t, text)
+		c, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client, c.(*net.TCPConn)
+	}
+
+	ready := make(chan struct{})
+	ordinary, accepted := accept(get)
+	// The bytes must have arrived before the next connections are accepted.
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if n, err := unreadBytes(accepted); err != nil || n == len(get) {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("the request has not arrived")
+		}
+	}
+	conns <- slowServer{accepted, ready}
+	for range 5 {
+		_, silent := accept("")
+		conns <- silent
+	}
+	close(ready)
+	if got := status(t, ordinary); got != http.StatusOK {
+		t.Errorf("status %d, want 200", got)
+	}
+	close(conns)
+}
+
+// TestNewConnectionHasTimeForItsHead guards against a full server that closes a connection before
+// its client can have sent anything.
+func TestNewConnectionHasTimeForItsHead(t *testing.T) {
+	s := start(t, gatekeeper.Limits{Connections: 1})
+	began := time.Now()
+	silent := s.dial(t, "")
+	if got := status(t, s.dial(t, get)); got != http.StatusOK {
+		t.Errorf("status %d, want 200", got)
+	}
+	if took := time.Since(began); took < 5*time.Millisecond {
+		t.Errorf("a new connection was closed after %s", took)
+	}
+	if got := status(t, silent); got != 0 {
+		t.Errorf("the silent connection got status %d, want it closed", got)
+	}
+}
+
 // TestRefusedBodiesLeaveNoGoroutines guards against refused requests that each take memory for some
 // time after their response.
 func TestRefusedBodiesLeaveNoGoroutines(t *testing.T) {
@@ -64,3 +142,16 @@
 		t.Errorf("a request after it got status %d, want 200", got)
 	}
 }
+
+// unreadBytes returns the number of bytes that have arrived on a connection.
+func unreadBytes(c *net.TCPConn) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
+}
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -57,6 +57,20 @@
 const (
 	// reportInterval is the least time between two log lines of a server.
 	reportInterval = 10 * time.Second
+	// headGrace is the time that a client has for the first bytes of a head before a full server
+	// closes its connection. Clients send them right after the connection is established.
+	headGrace = 10 * time.Millisecond
+	// admitPatience is how long a full server lets new connections wait without admitting one
+	// before it refuses them. It exceeds the times after which it closes others.
+	admitPatience = 750 * time.Millisecond
+	// admitInterval is how often a full server looks for a connection to close.
+	admitInterval = 2 * time.Millisecond
+	// maxQueueTime is how long a connection may have waited in the listener's queue before a full
+	// server refuses it. It is a third of what callers usually wait for an answer.
+	maxQueueTime = time.Second
+	// maxReleasing is the number of connections that were closed to make room and still have a
+	// goroutine of the server. http.Server keeps one for half a second after some responses.
+	maxReleasing = 512
 	// lingerTime is how long a connection stays open after its last response. Closing it while
 	// the client still sends would reset it, and the client might lose the response.
 	lingerTime = 500 * time.Millisecond
@@ -74,6 +88,11 @@
 	// those whose request is being received, in the order in which they became so.
 	conns         map[*conn]bool
 	idle, reading list.List
+	// releasing is the number of connections that were closed to make room and that the server has
+	// not released yet. Each still has a goroutine.
+	releasing int
+	// admittedAt is when the last connection was admitted.
+	admittedAt time.Time
 	// counts are the refusals since the start by reason, reported those up to reportedAt.
 	counts, reported map[string]int
 	reportedAt       time.Time
@@ -122,6 +141,7 @@
 	case http.StateActive:
 		inner.inHead.Store(false)
 		g.move(inner, phaseActive)
+		inner.headComplete.Store(false)
 	case http.StateIdle:
 		inner.head = headScanner{}
 		inner.inHead.Store(true)
@@ -150,7 +170,7 @@
 	case phaseReading:
 		g.reading.Remove(c.element)
 	}
-	c.phase = to
+	c.phase, c.since = to, time.Now()
 	switch to {
 	case phaseIdle:
 		c.element = g.idle.PushBack(c)
@@ -165,6 +185,10 @@
 func (g *Gatekeeper) release(c *conn) (lingers bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if c.evicted {
+		c.evicted = false
+		g.releasing--
+	}
 	if !c.lingers {
 		g.moveLocked(c, phaseClosed)
 	}
@@ -219,43 +243,80 @@
 	return c.phase == phaseClosed
 }
 
-// admit adds a new connection. If there are too many, it closes the one that has been idle for
-// longest, else the oldest whose request has not been received yet. It returns nil if each
-// connection has a request in progress.
+// admit adds a new connection. If there are too many it closes another one, for which it may have
+// to wait. Meanwhile further connections wait in the order in which they arrived. It returns nil if
+// no connection can be closed.
 func (g *Gatekeeper) admit(raw net.Conn) *conn {
+	c := &conn{Conn: raw, gate: g}
+	c.inHead.Store(true)
+	for {
+		admitted, wait := g.tryAdmit(c)
+		if admitted {
+			return c
+		}
+		if !wait {
+			g.count(reasonFull)
+			return nil
+		}
+		time.Sleep(admitInterval)
+	}
+}
+
+// tryAdmit adds a new connection if there is room for it or a connection that may be closed. It
+// reports whether there may be one soon.
+func (g *Gatekeeper) tryAdmit(c *conn) (admitted, wait bool) {
+	now := time.Now()
 	g.mu.Lock()
 	var victim *conn
 	reason := ""
-	if g.limits.Connections > 0 && len(g.conns) >= g.limits.Connections {
-		if victim, reason = g.victim(); victim == nil {
-			g.mu.Unlock()
-			g.count(reasonFull)
-			return nil
+	if limit := g.limits.Connections; limit > 0 && len(g.conns) >= limit {
+		if g.releasing < maxReleasing {
+			victim, reason = g.victim(now)
 		}
-		g.moveLocked(victim, phaseClosed)
-		if victim.linger != nil {
-			victim.linger.Stop()
+		if victim == nil {
+			wait = now.Sub(g.admittedAt) < admitPatience
+			g.mu.Unlock()
+			return false, wait && c.queueTime() < maxQueueTime
 		}
+		g.evictLocked(victim)
 	}
-	c := &conn{Conn: raw, gate: g, phase: phaseReading}
-	c.inHead.Store(true)
+	c.phase, c.since = phaseReading, now
 	c.element = g.reading.PushBack(c)
 	g.conns[c] = true
+	g.admittedAt = now
 	g.mu.Unlock()
 	if victim != nil {
 		victim.Conn.Close()
 		g.count(reason)
 	}
-	return c
+	return true, false
 }
 
-// victim returns the connection to close first, nil if there is none.
-func (g *Gatekeeper) victim() (c *conn, reason string) {
+// evictLocked removes a connection that the caller closes.
+func (g *Gatekeeper) evictLocked(c *conn) {
+	g.moveLocked(c, phaseClosed)
+	if !c.lingers {
+		c.evicted = true
+		g.releasing++
+	} else if c.linger != nil {
+		c.linger.Stop()
+	}
+}
+
+// victim returns the connection to close first, nil if there is none: the one that has been idle
+// for longest, else the one that has waited for its client for longest. A head that has arrived and waits for the server is not the client's fault.
+func (g *Gatekeeper) victim(now time.Time) (c *conn, reason string) {
 	if e := g.idle.Front(); e != nil {
 		return e.Value.(*conn), reasonIdle
 	}
-	if e := g.reading.Front(); e != nil {
-		return e.Value.(*conn), reasonHead
+	for e := g.reading.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if now.Sub(c.since) < headGrace {
+			break
+		}
+		if !c.headComplete.Load() && c.unread() == 0 {
+			return c, reasonHead
+		}
 	}
 	return nil, ""
 }
