gatekeeper: close connections whose client reads no responses

What callers saw: beside clients that send requests without end on their connections, whether they read the responses or not, each ordinary request got 503.

Cause: their connections always have a request in progress. A response that is not read kept one for 30 s.

Change: a full server closes a connection on which a write has waited for 250 ms, if none is idle or waits for its head (new reason Unread). While a new connection waits for room, responses end their connection.

Evidence: TestUnreadResponseMakesRoom fails before (503) and passes now.

--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -125,6 +125,9 @@
 			// The client gets no response, so the request must have no effect.
 			panic(http.ErrAbortHandler)
 		}
+		if g.waiting.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 			h.ServeHTTP(w, r)
 			return
--- a/internal/entry/gatekeeper/conn.go
+++ b/internal/entry/gatekeeper/conn.go
@@ -56,6 +56,8 @@
 	// encrypted is set before the first read if the content is encrypted. Heads are not scanned
 	// then.
 	encrypted bool
+	// writeBegan is when the write in progress began, in nanoseconds since 1970, 0 if there is none.
+	writeBegan atomic.Int64
 	// readBytes is the number of bytes whose reads have returned.
 	readBytes atomic.Int64
 
@@ -109,9 +111,12 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (n int, err error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	now := time.Now()
+	if err := c.Conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 		return 0, err
 	}
+	c.writeBegan.Store(now.UnixNano())
+	defer c.writeBegan.Store(0)
 	return c.Conn.Write(p)
 }
 
--- a/internal/entry/gatekeeper/full_server_test.go
+++ b/internal/entry/gatekeeper/full_server_test.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// TestUnreadResponseMakesRoom guards against clients that send requests, read no responses and take
+// all connections.
+func TestUnreadResponseMakesRoom(t *testing.T) {
+	s := start(t, gatekeeper.Limits{Connections: 1})
+	s.dial(t, "GET /big HTTP/1.1\r\nHost: h\r\n\r\n")
+	s.await(t, "active", 1)
+	if got := status(t, s.dial(t, get)); got != http.StatusOK {
+		t.Errorf("status %d, want 200", got)
+	}
+	if got := s.metric(t, "daisyhead_clients_refused_total", "Unread"); got != 1 {
+		t.Errorf("%v connections were closed because of unread responses, want 1", got)
+	}
+}
+
 // TestRefusedBodiesLeaveNoGoroutines guards against refused requests that each take memory for some
 // time after their response.
 func TestRefusedBodiesLeaveNoGoroutines(t *testing.T) {
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -45,6 +46,7 @@
 const (
 	reasonIdle        = "Idle"
 	reasonHead        = "Head"
+	reasonUnread      = "Unread"
 	reasonFull        = "Full"
 	reasonHeadLines   = "HeadLines"
 	reasonHeadBytes   = "HeadBytes"
@@ -52,7 +54,7 @@
 	reasonBodyMemory  = "BodyMemory"
 )
 
-var reasons = []string{reasonIdle, reasonHead, reasonFull, reasonHeadLines, reasonHeadBytes, reasonBodyTooLong, reasonBodyMemory}
+var reasons = []string{reasonIdle, reasonHead, reasonUnread, reasonFull, reasonHeadLines, reasonHeadBytes, reasonBodyTooLong, reasonBodyMemory}
 
 const (
 	// reportInterval is the least time between two log lines of a server.
@@ -60,6 +62,9 @@
 	// headGrace is the time that a client has for the first bytes of a head before a full server
 	// closes its connection. Clients send them right after the connection is established.
 	headGrace = 10 * time.Millisecond
+	// writeGrace is the time after which a full server closes a connection whose client does not
+	// read. A response that fits into the buffers of the connection takes no time.
+	writeGrace = 250 * time.Millisecond
 	// admitPatience is how long a full server lets new connections wait without admitting one
 	// before it refuses them. It exceeds the times after which it closes others.
 	admitPatience = 750 * time.Millisecond
@@ -93,6 +98,8 @@
 	releasing int
 	// admittedAt is when the last connection was admitted.
 	admittedAt time.Time
+	// waiting is set while a new connection waits for room.
+	waiting atomic.Bool
 	// counts are the refusals since the start by reason, reported those up to reportedAt.
 	counts, reported map[string]int
 	reportedAt       time.Time
@@ -249,6 +256,7 @@
 func (g *Gatekeeper) admit(raw net.Conn) *conn {
 	c := &conn{Conn: raw, gate: g}
 	c.inHead.Store(true)
+	defer g.waiting.Store(false)
 	for {
 		admitted, wait := g.tryAdmit(c)
 		if admitted {
@@ -258,6 +266,7 @@
 			g.count(reasonFull)
 			return nil
 		}
+		g.waiting.Store(true)
 		time.Sleep(admitInterval)
 	}
 }
@@ -304,7 +313,8 @@
 }
 
 // victim returns the connection to close first, nil if there is none: the one that has been idle
-// for longest, else the one that has waited for its client for longest. A head that has arrived and waits for the server is not the client's fault.
+// for longest, else the one that has waited for its client for longest, for the rest of a head or
+// to read a response. A head that has arrived and waits for the server is not the client's fault.
 func (g *Gatekeeper) victim(now time.Time) (c *conn, reason string) {
 	if e := g.idle.Front(); e != nil {
 		return e.Value.(*conn), reasonIdle
@@ -318,6 +328,11 @@
 			return c, reasonHead
 		}
 	}
+	for c := range g.conns {
+		if began := c.writeBegan.Load(); began > 0 && now.UnixNano()-began >= int64(writeGrace) {
+			return c, reasonUnread
+		}
+	}
 	return nil, ""
 }
 
--- a/internal/entry/gatekeeper/gatekeeper_test.go
+++ b/internal/entry/gatekeeper/gatekeeper_test.go
@@ -30,7 +30,7 @@
 }
 
 // server is a protected server. Requests for /wait end once release is closed, those for /ignore don't
-// read their body.
+// read their body, and those for /big have a long response.
 type server struct {
 	address string
 	release chan struct{}
@@ -55,6 +55,13 @@
 		case "/ignore":
 			close(s.ignored)
 			return
+		case "/big":
+			// More than the buffers of a connection hold.
+			for range 64 {
+				if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+					return
+				}
+			}
 		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
