gatekeeper: accept small bodies that have arrived beside slow ones

What callers saw: beside clients that send small bodies slowly, each ordinary submission got 503.

Cause: a quarter of the connections may receive small bodies at a time, and slow ones take these places again and again.

Change: a body of up to 16 KB that has arrived when its head is read needs no place, since nothing of it must be waited for. What has arrived is known from what was read after the head and from TCP_INFO; on encrypted connections, and on those with pipelined requests, it is not known, and a place is needed as before.

Evidence: TestArrivedBodiesNeedNoPlace fails before (503 instead of 200) and passes now.

--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -92,16 +92,19 @@
 	return &p.large, size
 }
 
-// acquire reserves a place among the bodies that are received, and memory for a body of the
-// given size, for which it waits for a short time. received must be called once the body is
-// received, release once the request is served.
-func (c *bodyClass) acquire(ctx context.Context, size int64) (received, release func(), ok bool) {
+// acquire reserves a place among the bodies that are received, unless the body has arrived, and
+// memory for a body of the given size, for which it waits for a short time. received must be called
+// once the body is received, release once the request is served.
+func (c *bodyClass) acquire(ctx context.Context, size int64, arrived bool) (received, release func(), ok bool) {
+	received = func() {}
 	select {
 	case c.receiving <- struct{}{}:
+		received = sync.OnceFunc(func() { <-c.receiving })
 	default:
-		return nil, nil, false
+		if !arrived {
+			return nil, nil, false
+		}
 	}
-	received = sync.OnceFunc(func() { <-c.receiving })
 	// A single request is always served, also if it needs more than the whole pool.
 	cost := min(max(size*bodyCostFactor, minBodyCost), c.size)
 	ctx, cancel := context.WithTimeout(ctx, bodyWait)
@@ -121,9 +124,12 @@
 // is within the limits. It refuses the others before anything of the body was read.
 func (g *Gatekeeper) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := connOf(r); c != nil && g.closed(c) {
-			// The client gets no response, so the request must have no effect.
-			panic(http.ErrAbortHandler)
+		if c := connOf(r); c != nil {
+			if g.closed(c) {
+				// The client gets no response, so the request must have no effect.
+				panic(http.ErrAbortHandler)
+			}
+			c.bodySize = r.ContentLength
 		}
 		if g.waiting.Load() {
 			w.Header().Set("Connection", "close")
@@ -146,7 +152,8 @@
 	body := &timedBody{ReadCloser: r.Body, control: http.NewResponseController(w), timeout: g.limits.BodyTimeout}
 	if g.bodies != nil {
 		class, size := g.bodies.classOf(r.ContentLength)
-		received, release, ok := class.acquire(r.Context(), size)
+		arrived := class == &g.bodies.small && c != nil && c.hasReceived(size)
+		received, release, ok := class.acquire(r.Context(), size, arrived)
 		if !ok {
 			w.Header().Set("Retry-After", retryAfterS)
 			g.refuseBody(w, r, http.StatusServiceUnavailable, reasonBodyMemory, "too many bodies are being received")
--- a/internal/entry/gatekeeper/conn.go
+++ b/internal/entry/gatekeeper/conn.go
@@ -60,6 +60,12 @@
 	writeBegan atomic.Int64
 	// readBytes is the number of bytes whose reads have returned.
 	readBytes atomic.Int64
+	// bodyBytes is what was received after the end of the last head.
+	bodyBytes atomic.Int64
+	// bodySize is the size of the last request's body, -1 if it was not announced. pipelined is set
+	// once a head may have been received as part of a body. Only the server's goroutine uses them.
+	bodySize  int64
+	pipelined bool
 
 	// The gatekeeper guards the following fields. element is the place in one of its lists.
 	phase   phase
@@ -83,6 +89,7 @@
 	received := n
 	defer func() { c.readBytes.Add(int64(received)) }()
 	if !c.inHead.Load() {
+		c.bodyBytes.Add(int64(n))
 		return n, err
 	}
 	if c.head.bytes == 0 {
@@ -92,8 +99,8 @@
 		c.head.bytes += n
 		return n, err
 	}
-	c.head.add(p[:n])
-	c.headComplete.Store(c.head.complete)
+	c.bodyBytes.Store(int64(c.head.add(p[:n])))
+	c.headComplete.Store(c.head.complete && !c.pipelined)
 	limits := c.gate.limits
 	if limits.HeadLines > 0 && c.head.lines > limits.HeadLines {
 		c.gate.count(reasonHeadLines)
@@ -142,6 +149,11 @@
 	return nil
 }
 
+// hasReceived reports whether a body of the given size has arrived.
+func (c *conn) hasReceived(size int64) bool {
+	return !c.encrypted && !c.pipelined && size >= 0 && c.bodyBytes.Load()+c.unread() >= size
+}
+
 // unread returns the number of bytes that have arrived but were not looked at, 0 if it is not known.
 func (c *conn) unread() (n int64) {
 	if info := c.tcpInfo(); info != nil {
@@ -188,13 +200,14 @@
 	begun, complete bool
 }
 
-// add counts the lines in the next bytes of the connection.
-func (h *headScanner) add(p []byte) {
+// add counts the lines in the next bytes of the connection, and returns the number of bytes after
+// the end of the head.
+func (h *headScanner) add(p []byte) (rest int) {
 	h.bytes += len(p)
-	for _, b := range p {
+	for i, b := range p {
 		switch {
 		case h.complete:
-			return
+			return len(p) - i
 		case b == '\n':
 			h.lines++
 			h.complete = h.begun && h.lineBytes == 0
@@ -204,4 +217,5 @@
 			h.lineBytes++
 		}
 	}
+	return 0
 }
--- a/internal/entry/gatekeeper/full_server_test.go
+++ b/internal/entry/gatekeeper/full_server_test.go
@@ -1,6 +1,8 @@
 package gatekeeper_test
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -120,6 +122,34 @@
 	}
 }
 
+// TestArrivedBodiesNeedNoPlace guards against slow bodies that keep ordinary submissions out, whose
+// bodies arrive with their heads.
+func TestArrivedBodiesNeedNoPlace(t *testing.T) {
+	s := start(t, gatekeeper.Limits{Connections: 12, BodyBytes: 64 << 10, BodyMemory: 16 << 20, HeadTimeout: 5 * time.Second, BodyTimeout: 10 * time.Second})
+	post := func(length int, body string) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, body)
+	}
+	for range 8 {
+		s.dial(t, post(10, "x"))
+	}
+	s.awaitMemory(t, "small", 8*4<<10)
+	for _, body := range []string{"0123456789", strings.Repeat("x", 10<<10)} {
+		c := s.dial(t, post(len(body), body))
+		if got := status(t, c); got != http.StatusOK {
+			t.Errorf("a body of %d bytes got status %d, want 200", len(body), got)
+		}
+		if _, err := io.WriteString(c, post(len(body), body)); err != nil {
+			t.Fatal(err)
+		}
+		if got := status(t, c); got != http.StatusOK {
+			t.Errorf("the second body of %d bytes got status %d, want 200", len(body), got)
+		}
+	}
+	if got := status(t, s.dial(t, post(10, "x"))); got != http.StatusServiceUnavailable {
+		t.Errorf("a body that has not arrived got status %d, want 503", got)
+	}
+}
+
 // TestRefusedBodiesLeaveNoGoroutines guards against refused requests that each take memory for some
 // time after their response.
 func TestRefusedBodiesLeaveNoGoroutines(t *testing.T) {
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -150,6 +150,8 @@
 		g.move(inner, phaseActive)
 		inner.headComplete.Store(false)
 	case http.StateIdle:
+		// The begin of the next head is not known if it was received before the response.
+		inner.pipelined = inner.pipelined || inner.bodyBytes.Load() != inner.bodySize
 		inner.head = headScanner{}
 		inner.inHead.Store(true)
 		g.move(inner, phaseIdle)
