gatekeeper: let refused clients read their response

What callers saw: a reset instead of the 503 of a full server.

Cause: the connection was closed right after the response, although the request had arrived or was still being sent. That resets it.

Change: up to 16 refused connections of a listener stay open for half a second after their response; further ones are closed at once. They count beyond the limit of connections.

Evidence: TestRefusedConnectionGetsResponse fails before (connection reset) and passes now.

--- a/internal/entry/gatekeeper/full_server_test.go
+++ b/internal/entry/gatekeeper/full_server_test.go
@@ -176,6 +176,32 @@
 	}
 }
 
+// TestRefusedConnectionGetsResponse guards against a refusal that the client can't read because its
+// connection is reset.
+func TestRefusedConnectionGetsResponse(t *testing.T) {
+	s := start(t, gatekeeper.Limits{Connections: 1})
+	s.dial(t, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	s.await(t, "active", 1)
+	for range 3 {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		for range 10 {
+			if _, err := io.WriteString(c, strings.Repeat("x", 1000)); err != nil {
+				t.Errorf("the connection was reset while the request was sent: %v", err)
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if got := status(t, c); got != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", got)
+		}
+	}
+	close(s.release)
+}
+
 // TestIgnoredBodyMakesRoom guards against a server that refuses callers because of connections
 // on which it still receives a body that the handler did not need.
 func TestIgnoredBodyMakesRoom(t *testing.T) {
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -79,6 +79,9 @@
 	// lingerTime is how long a connection stays open after its last response. Closing it while
 	// the client still sends would reset it, and the client might lose the response.
 	lingerTime = 500 * time.Millisecond
+	// maxLingeringRefusals is the number of connections beyond the limit that stay open after the
+	// response that refuses them.
+	maxLingeringRefusals = 16
 )
 
 // Gatekeeper protects one server.
@@ -100,6 +103,8 @@
 	admittedAt time.Time
 	// waiting is set while a new connection waits for room.
 	waiting atomic.Bool
+	// refusals is the number of refused connections that are open.
+	refusals int
 	// counts are the refusals since the start by reason, reported those up to reportedAt.
 	counts, reported map[string]int
 	reportedAt       time.Time
@@ -377,7 +382,7 @@
 		if c := l.gate.admit(raw); c != nil {
 			return c, nil
 		}
-		refuse(raw)
+		l.gate.refuse(raw)
 	}
 }
 
@@ -385,9 +390,27 @@
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 // refuse sends the response to a connection that was not admitted, and closes it.
-func refuse(c net.Conn) {
+func (g *Gatekeeper) refuse(c net.Conn) {
 	writeNow(c, refusal)
-	c.Close()
+	g.mu.Lock()
+	lingers := g.refusals < maxLingeringRefusals
+	if lingers {
+		g.refusals++
+	}
+	g.mu.Unlock()
+	if !lingers {
+		c.Close()
+		return
+	}
+	if w, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite()
+	}
+	time.AfterFunc(lingerTime, func() {
+		c.Close()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.refusals--
+	})
 }
 
 // writeNow writes a response without waiting for the client. A client that does not get it sees
