messenger: limit the handshakes that are in progress

What callers saw: nothing yet; anyone who can send datagrams to the listener for peers could end the process.

Cause: each first packet of a QUIC connection, whatever its content, took memory and several goroutines for two to four seconds, without a limit. Mutual TLS refuses clients without a certificate only at the end of the handshake.

Change: at most 64 handshakes of unknown clients are in progress at a time. From 16 on, clients must first show that they receive at their address, which quic-go checks without keeping state. Peers that are listed with their address are always admitted once their address is verified, so that others can't keep them out.

Evidence: TestUnfinishedHandshakesAreFew fails before (7,673 more goroutines after 2,000 packets, 250 allowed) and passes now; a peer connects beside them.

--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -68,6 +68,8 @@
 	cfg       Config
 	transport *quic.Transport
 	listener  *quic.Listener
+	// handshakes are those of incoming connections.
+	handshakes handshakes
 
 	mu    sync.Mutex
 	peers map[string]*link
@@ -101,7 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
-	m = &Messenger{cfg: cfg, transport: &quic.Transport{Conn: conn}, peers: map[string]*link{}}
+	m = &Messenger{cfg: cfg, peers: map[string]*link{}}
+	m.handshakes.isPeer = m.isPeer
+	m.transport = &quic.Transport{Conn: conn, VerifySourceAddress: m.handshakes.mustVerify, ConnContext: m.handshakes.begin}
 	m.listener, err = m.transport.Listen(m.tlsConfig(""), quicConfig())
 	if err != nil {
 		return nil, errors.CombineErrors(err, conn.Close())
@@ -155,6 +159,18 @@
 	m.peers = next
 }
 
+// isPeer reports whether an address is that of a peer, which also sends from there.
+func (m *Messenger) isPeer(addr net.Addr) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.peers {
+		if l.peer.Address == addr.String() {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Messenger) links() []*link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -270,6 +286,7 @@
 		if err != nil {
 			return
 		}
+		m.handshakes.end(conn)
 		go m.receiveHeartbeats(ctx, conn, h)
 		go m.acceptStateRequests(ctx, conn, h)
 	}
--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -110,3 +112,46 @@
 		}
 	}
 }
+
+// TestUnfinishedHandshakesAreFew guards against clients that begin connections and never complete
+// their handshake, each of which takes memory. A peer still connects.
+func TestUnfinishedHandshakesAreFew(t *testing.T) {
+	authority := newAuthority(t)
+	_, h, address := startMessenger(t, authority, "b", "b")
+	c, err := net.Dial("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	before := runtime.NumGoroutine()
+	for n := range 2000 {
+		// The first packet of a connection of version 1, with IDs of eight bytes, no token and a
+		// content that can't be decrypted.
+		packet := make([]byte, 1200)
+		copy(packet, []byte{0xc3, 0, 0, 0, 1, 8})
+		binary.BigEndian.PutUint64(packet[6:], uint64(n)+1)
+		packet[14] = 8
+		copy(packet[24:], []byte{0x44, 0x90})
+		if _, err := c.Write(packet); err != nil {
+			t.Fatal(err)
+		}
+		if n%100 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	// Each handshake takes up to three goroutines.
+	if n := runtime.NumGoroutine() - before; n > 250 {
+		t.Errorf("%d more goroutines, want 250 at most", n)
+	}
+	valid, _, _ := startMessenger(t, authority, "proper", "proper")
+	valid.SetPeers([]messenger.Peer{{Name: "b", Address: address}})
+	select {
+	case got := <-h.received:
+		if got.Name != "proper" {
+			t.Errorf("received %+v", got)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("no heartbeat was received")
+	}
+}
