product: limit the memory of bodies that the API receives

What callers saw: nothing yet; clients that send large bodies at the same time could end the process.

Cause: the API decodes bodies of up to 8 MB as they arrive, as many as there are connections, without a limit of time. Only the number of connections was limited, since requests to services are passed on as streams.

Change: the gatekeepers of the API and of the admin listener limit the size, the time (30 s) and the memory of bodies, but not of requests to services (Limits.Streams). New setting Limits.BodyMemoryMB, 64 by default.

--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -134,7 +134,7 @@
 		if g.waiting.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody || g.limits.Streams != nil && g.limits.Streams(r) {
 			h.ServeHTTP(w, r)
 			return
 		}
--- a/internal/entry/gatekeeper/full_server_test.go
+++ b/internal/entry/gatekeeper/full_server_test.go
@@ -213,6 +213,16 @@
 	}
 }
 
+// TestStreamsHaveNoBodyLimits guards against limits of bodies that are passed on as they arrive.
+func TestStreamsHaveNoBodyLimits(t *testing.T) {
+	s := start(t, gatekeeper.Limits{BodyBytes: 10, BodyMemory: 64 << 10, Streams: func(r *http.Request) bool { return r.URL.Path == "/stream" }})
+	for path, want := range map[string]int{"/stream": http.StatusOK, "/": http.StatusRequestEntityTooLarge} {
+		if got := status(t, s.dial(t, "POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n"+strings.Repeat("x", 20))); got != want {
+			t.Errorf("%s: status %d, want %d", path, got, want)
+		}
+	}
+}
+
 // unreadBytes returns the number of bytes that have arrived on a connection.
 func unreadBytes(c *net.TCPConn) (n int, err error) {
 	raw, err := c.SyscallConn()
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -35,6 +35,9 @@
 	// BodyMemory limits the memory of the requests with a body that are served at a time, as
 	// estimated from the sizes of the bodies.
 	BodyMemory int64
+	// Streams reports whether the body of a request is passed on as it arrives. The limits of bodies
+	// don't apply to it. nil means that there are no such requests.
+	Streams func(*http.Request) bool
 }
 
 // Reporter writes events to the log.
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -33,6 +33,9 @@
 	maxRequestIDBytes = 128
 )
 
+// ServicesPath is the prefix of the paths of requests that are passed on to services.
+const ServicesPath = "/v1/services/"
+
 // Control gives access to the control state of the instance.
 type Control interface {
 	// Inspect runs read in the control goroutine and waits until it has returned or ctx
@@ -79,7 +82,7 @@
 	s.registerJobRoutes()
 	s.registerChangeRoutes()
 	s.registerFleetRoutes()
-	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.proxyRequest)
+	s.mux.HandleFunc(ServicesPath+"{service}/{path...}", s.proxyRequest)
 	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		encodeError(r.Context(), notFound("no route "+r.Method+" "+r.URL.Path), w)
 	})
--- a/internal/product/assembler/e2e_test.go
+++ b/internal/product/assembler/e2e_test.go
@@ -43,7 +43,9 @@
 	workerAddrs []string
 	processes   map[string]*exec.Cmd
 	// apiAddrs holds the API addresses of the instances, in the order of their names.
-	apiAddrs  []string
+	apiAddrs []string
+	// adjust changes the settings of each instance, if it is set.
+	adjust    func(*configurer.Settings)
 	listAddr  string
 	instances []lister.Instance
 	client    *caller.Client
@@ -62,9 +64,10 @@
 }
 
 // newTestSystem builds the programs, starts all processes and applies a ticket with
-// the workers and a workspace. The log keeps records for the retention.
-func newTestSystem(t *testing.T, retention time.Duration) *testSystem {
-	s := &testSystem{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}}
+// the workers and a workspace. The log keeps records for the retention. adjust, which
+// may be nil, changes the settings of each instance.
+func newTestSystem(t *testing.T, retention time.Duration, adjust func(*configurer.Settings)) *testSystem {
+	s := &testSystem{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}, adjust: adjust}
 	build := exec.Command("go", "build", "-o", s.dir, "daisyhead/cmd/daisyhead", "daisyhead/cmd/standin")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -148,6 +151,9 @@
 	duration := func(d time.Duration) specifier.Duration { return specifier.Duration(d) }
 	c.Timing.Lease, c.Timing.Renew, c.Timing.LostAfter = duration(5*time.Second), duration(time.Second), duration(12*time.Second)
 	c.Timing.SnapshotInterval, c.Peers.Heartbeat, c.Timing.HolderTimeout = duration(3*time.Second), duration(300*time.Millisecond), duration(1500*time.Millisecond)
+	if s.adjust != nil {
+		s.adjust(&c)
+	}
 	data, err := configurer.Encode(c)
 	if err != nil {
 		s.t.Fatal(err)
@@ -315,7 +321,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := newTestSystem(t, test.retention)
+			s := newTestSystem(t, test.retention, nil)
 			nonIdempotent := s.submit("long", "run=35s", true)
 			idempotent := s.submit("again", "run=20s", false)
 			s.await("the gang runs", 20*time.Second, func() bool { return s.jobStatus(nonIdempotent) == reducer.JobRunning })
--- a/internal/product/assembler/gates.go
+++ b/internal/product/assembler/gates.go
@@ -1,9 +1,12 @@
 package assembler
 
 import (
+	"net/http"
+	"strings"
 	"time"
 
 	"daisyhead/internal/entry/gatekeeper"
+	"daisyhead/internal/entry/server"
 )
 
 const (
@@ -12,15 +15,18 @@
 	// maxHeadLines is more than ordinary heads have. Short lines take fifteen times their size
 	// once they are parsed.
 	maxHeadLines = 1024
+	// bodyTimeout allows the largest body at 2.2 Mbit/s.
+	bodyTimeout = 30 * time.Second
 )
 
-// newGate returns the gatekeeper of a listener. It does not limit bodies, since requests to
-// services are streams that are passed on. The lines of heads on encrypted connections can't be
+// newGate returns the gatekeeper of a listener. The lines of heads on encrypted connections can't be
 // counted before they are decrypted.
 func (i *Instance) newGate(name string, encrypted bool) *gatekeeper.Gatekeeper {
 	limits := gatekeeper.Limits{
 		Connections: i.settings.Limits.MaxConnections, HeadBytes: i.settings.Limits.MaxHeaderBytes, HeadLines: maxHeadLines,
-		HeadTimeout: headTimeout, IdleTimeout: idleTimeout,
+		HeadTimeout: headTimeout, IdleTimeout: idleTimeout, BodyBytes: server.MaxBodyBytes, BodyTimeout: bodyTimeout,
+		BodyMemory: int64(i.settings.Limits.BodyMemoryMB) << 20,
+		Streams:    func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, server.ServicesPath) },
 	}
 	if encrypted {
 		limits.HeadLines = 0
--- a/internal/product/configurer/check.go
+++ b/internal/product/configurer/check.go
@@ -225,7 +225,8 @@
 	}{
 		{"AppendsPerSecond", l.AppendsPerSecond, 0.1, 1000}, {"AppendBurst", float64(l.AppendBurst), 1, 10000},
 		{"RetriesPerSecond", l.RetriesPerSecond, 0, 10000}, {"SnapshotRecords", float64(l.SnapshotRecords), 10, 1e7},
-		{"MaxHeaderBytes", float64(l.MaxHeaderBytes), 4096, 1 << 20}, {"MaxConnections", float64(l.MaxConnections), 16, 1e6}, {"MinionConnections", float64(l.MinionConnections), 1, 1024},
+		{"MaxHeaderBytes", float64(l.MaxHeaderBytes), 4096, 1 << 20}, {"MaxConnections", float64(l.MaxConnections), 16, 1e6},
+		{"BodyMemoryMB", float64(l.BodyMemoryMB), 8, 1e6}, {"MinionConnections", float64(l.MinionConnections), 1, 1024},
 	}
 	for _, n := range numbers {
 		if n.value < n.low || n.value > n.high {
--- a/internal/product/configurer/settings.go
+++ b/internal/product/configurer/settings.go
@@ -143,6 +143,9 @@
 	MaxHeaderBytes int
 	// MaxConnections limits the open connections to each TCP listener.
 	MaxConnections int
+	// BodyMemoryMB limits the memory of the requests with a body that the API serves at a
+	// time. Requests to services are not counted, since their bodies are passed on.
+	BodyMemoryMB int
 	// MinionConnections limits the connections to one minion.
 	MinionConnections int
 }
@@ -174,7 +177,7 @@
 			LogWait: duration(500 * time.Millisecond), LogTimeout: duration(time.Second), SnapshotInterval: duration(5 * time.Minute),
 			ShutdownDelay: duration(2 * time.Second), ShutdownTimeout: duration(2 * time.Minute), ListInterval: duration(2 * time.Second),
 		},
-		Limits:  Limits{AppendsPerSecond: 8, AppendBurst: 16, RetriesPerSecond: 10, SnapshotRecords: 5000, MaxHeaderBytes: 64 << 10, MaxConnections: 1000, MinionConnections: 16},
+		Limits:  Limits{AppendsPerSecond: 8, AppendBurst: 16, RetriesPerSecond: 10, SnapshotRecords: 5000, MaxHeaderBytes: 64 << 10, MaxConnections: 1000, BodyMemoryMB: 64, MinionConnections: 16},
 		Logging: Logging{Access: true},
 	}
 }
