--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -95,13 +95,13 @@
 // acquire reserves a place among the bodies that are received, unless the body has arrived, and
 // memory for a body of the given size, for which it waits for a short time. received must be called
 // once the body is received, release once the request is served.
-func (c *bodyClass) acquire(ctx context.Context, size int64, arrived bool) (received, release func(), ok bool) {
+func (c *bodyClass) acquire(ctx context.Context, size int64, arrived func() bool) (received, release func(), ok bool) {
 	received = func() {}
 	select {
 	case c.receiving <- struct{}{}:
 		received = sync.OnceFunc(func() { <-c.receiving })
 	default:
-		if !arrived {
+		if !arrived() {
 			return nil, nil, false
 		}
 	}
@@ -152,7 +152,7 @@
 	body := &timedBody{ReadCloser: r.Body, control: http.NewResponseController(w), timeout: g.limits.BodyTimeout}
 	if g.bodies != nil {
 		class, size := g.bodies.classOf(r.ContentLength)
-		arrived := class == &g.bodies.small && c != nil && c.hasReceived(size)
+		arrived := func() bool { return class == &g.bodies.small && c != nil && c.hasReceived(size) }
 		received, release, ok := class.acquire(r.Context(), size, arrived)
 		if !ok {
 			w.Header().Set("Retry-After", retryAfterS)
--- a/internal/entry/gatekeeper/conn.go
+++ b/internal/entry/gatekeeper/conn.go
@@ -70,8 +70,8 @@
 	// The gatekeeper guards the following fields. element is the place in one of its lists.
 	phase   phase
 	element *list.Element
-	// since is when the phase began.
-	since time.Time
+	// readingSince is when phaseReading began.
+	readingSince time.Time
 	// lingers is set once the last response was sent and the gatekeeper, not the server, will close
 	// the connection. linger is the timer that does it.
 	lingers bool
--- a/internal/entry/gatekeeper/gatekeeper.go
+++ b/internal/entry/gatekeeper/gatekeeper.go
@@ -187,11 +187,12 @@
 	case phaseReading:
 		g.reading.Remove(c.element)
 	}
-	c.phase, c.since = to, time.Now()
+	c.phase = to
 	switch to {
 	case phaseIdle:
 		c.element = g.idle.PushBack(c)
 	case phaseReading:
+		c.readingSince = time.Now()
 		c.element = g.reading.PushBack(c)
 	case phaseClosed:
 		delete(g.conns, c)
@@ -299,7 +300,7 @@
 		}
 		g.evictLocked(victim)
 	}
-	c.phase, c.since = phaseReading, now
+	c.phase, c.readingSince = phaseReading, now
 	c.element = g.reading.PushBack(c)
 	g.conns[c] = true
 	g.admittedAt = now
@@ -331,7 +332,7 @@
 	}
 	for e := g.reading.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		if now.Sub(c.since) < headGrace {
+		if now.Sub(c.readingSince) < headGrace {
 			break
 		}
 		if !c.headComplete.Load() && c.unread() == 0 {
