--- a/internal/entry/gatekeeper/bodies.go
+++ b/internal/entry/gatekeeper/bodies.go
@@ -197,9 +197,9 @@
 	if c != nil && g.beginLinger(c) {
 		if outer, _, err := control.Hijack(); err == nil {
 			resp := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: w.Header(), Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body))}
-			var text bytes.Buffer
-			_ = resp.Write(&text)
-			g.respondAndLinger(c, outer, text.String())
+			var encoded bytes.Buffer
+			_ = resp.Write(&encoded)
+			g.respondAndLinger(c, outer, encoded.String())
 			return
 		}
 		g.cancelLinger(c)
