--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -30,9 +30,10 @@
 
 // cases are the cases by name.
 var cases = map[string]func(p *play){
-	"crashes": playCrashes,
 	"sharing": playSharing,
 	"kinds":   playKinds,
+	"starts":  playStarts,
+	"gangs":   playGangs,
 }
 
 func fatal(err error) {
--- a/review/harness-3/minion.go
+++ b/review/harness-3/minion.go
@@ -53,11 +53,13 @@
 	log     *record
 	store   *store
 	minions []*minion
+	// dark is set if the connections of a minion that crashes fall silent and are not closed.
+	dark bool
 	// onStart and onEnd, if set, are called with the lock held.
 	onStart func(m *minion, r *run)
 	onEnd   func(m *minion, r *run, how string)
 	// onSeen, if set, is called when an end is taken note of.
-	onSeen func(m *minion, e end)
+	onSeen func(m *minion, e *end)
 	// late, if set, tells whether a call gets no response and after which time it is carried out.
 	late func(m *minion, path string, c call) (after time.Duration, late bool)
 }
@@ -81,7 +83,7 @@
 	leaseUntil time.Time
 	runs       map[string]*run
 	lastEnded  map[string]int
-	ends       []end
+	ends       []*end
 	endCount   int64
 	seq        int
 	// ended is closed and replaced whenever a run ends.
@@ -106,6 +108,9 @@
 	task   string
 	run    int
 	how    string
+	// startedAgain is set once the task, or one of its gang, was started after the end. lapsed is
+	// set once the minion's lease has lapsed since.
+	startedAgain, lapsed bool
 }
 
 // call is the body of an order.
@@ -180,7 +185,9 @@
 	m.up = false
 	m.fleet.log.line("minion %s crashes (%s)", m.id, why)
 	close(m.lost)
-	go m.server.Close()
+	if !m.fleet.dark {
+		go m.server.Close()
+	}
 	for _, key := range slices.Sorted(maps.Keys(m.runs)) {
 		r := m.runs[key]
 		r.timer.Stop()
@@ -208,6 +215,7 @@
 func (m *minion) comeBack() {
 	var l net.Listener
 	var err error
+	m.server.Close()
 	for range 100 {
 		if l, err = net.Listen("tcp", m.address); err == nil {
 			break
@@ -229,6 +237,9 @@
 		f.mu.Lock()
 		for _, m := range f.minions {
 			if m.up && time.Now().After(m.leaseUntil) {
+				for _, e := range m.ends {
+					e.lapsed = true
+				}
 				for _, key := range slices.Sorted(maps.Keys(m.runs)) {
 					m.end(m.runs[key], "lapsed")
 				}
@@ -265,7 +276,7 @@
 	delete(m.runs, key(r.task, r.number))
 	m.lastEnded[r.task] = max(m.lastEnded[r.task], r.number)
 	m.endCount++
-	m.ends = append(m.ends, end{m.endCount, r.task, r.number, how})
+	m.ends = append(m.ends, &end{number: m.endCount, task: r.task, run: r.number, how: how})
 	m.fleet.log.line("run %s/%d on %s ends: %s", r.task, r.number, m.id, how)
 	if m.fleet.onEnd != nil {
 		m.fleet.onEnd(m, r, how)
@@ -307,7 +318,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !m.up {
-		panic(http.ErrAbortHandler)
+		m.leaveUnanswered(r)
 	}
 	if id := r.Header.Get("Expect-Instance"); id != "" && id != m.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -334,13 +345,24 @@
 	}
 	status, body := m.execute(r, c, false)
 	if lost != m.lost || !m.up {
-		panic(http.ErrAbortHandler)
+		m.leaveUnanswered(r)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// leaveUnanswered ends a call without an answer, after the caller has given up if crashes are
+// dark. The caller holds the lock.
+func (m *minion) leaveUnanswered(r *http.Request) {
+	if m.fleet.dark {
+		m.fleet.mu.Unlock()
+		<-r.Context().Done()
+		m.fleet.mu.Lock()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // execute carries out an order. The caller holds the lock, which a hold releases while it waits.
 func (m *minion) execute(r *http.Request, c call, late bool) (status int, body map[string]any) {
 	body = map[string]any{"clock_ms": m.clock(), "born": m.born.UnixMilli()}
@@ -390,6 +412,7 @@
 	m.extend(c.Deadline)
 	r := &run{minion: m, task: c.Task, number: c.Run, started: time.Now()}
 	_ = json.Unmarshal([]byte(c.Spec), &r.work)
+	m.fleet.noteStart(r)
 	m.runs[key(r.task, r.number)] = r
 	m.fleet.log.line("run %s/%d (%s) starts on %s, kind %s, late %t, token %d", r.task, r.number, r.work.Name, m.id, m.kind, late, c.Token)
 	if m.fleet.onStart != nil {
@@ -399,6 +422,17 @@
 	return http.StatusOK, body
 }
 
+// noteStart notes the ends that are not taken note of yet and that a start follows.
+func (f *fleet) noteStart(r *run) {
+	for _, m := range f.minions {
+		for _, e := range m.ends {
+			if m.up && e.how == "done" && (e.task == r.task || r.work.Gang > 0 && stepOf(e.task) == stepOf(r.task)) {
+				e.startedAgain = true
+			}
+		}
+	}
+}
+
 // begins begins the work of a run, or of a gang that is complete.
 func (m *minion) begins(r *run) {
 	f := m.fleet
