--- a/review/harness-3/case_gangs.go
+++ b/review/harness-3/case_gangs.go
@@ -11,15 +11,15 @@
 // gangLateEvery gets no answer and is carried out lateLeast to lateMost later.
 const (
 	gangMinions    = 12
-	gangCrashEvery = 2500 * time.Millisecond
+	gangCrashEvery = 1500 * time.Millisecond
 	gangDown       = time.Second
-	gangLate       = 0.3
+	gangLate       = 0.5
 	gangLateFor    = 5 * time.Second
 	gangLateEvery  = 6 * time.Second
 	lateLeast      = 2 * time.Second
 	lateMost       = 12 * time.Second
 	gangSpan       = 80 * time.Second
-	gangEvery      = 250 * time.Millisecond
+	gangEvery      = 150 * time.Millisecond
 	gangMembers    = 3
 )
 
@@ -52,7 +52,7 @@
 		if time.Now().After(nextJob) {
 			nextJob = nextJob.Add(gangEvery)
 			job++
-			if !p.client.submit(fmt.Sprintf("000000000000e%03x", job), work{MS: 700, Gang: gangMembers, Name: "gang"}, map[string]any{"count": gangMembers, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "estimate_ms": 700, "gang": true, "anti_affinity": 1}) {
+			if !p.client.submit(fmt.Sprintf("00000000000e%03x1", job), work{MS: 700, Gang: gangMembers, Name: "gang"}, map[string]any{"count": gangMembers, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "estimate_ms": 700, "gang": true, "anti_affinity": 1}) {
 				fatal(errNotAccepted)
 			}
 		}
--- a/review/harness-3/case_kinds.go
+++ b/review/harness-3/case_kinds.go
@@ -29,7 +29,7 @@
 	}
 	p.fleet.mu.Unlock()
 	for i := range kindJobs {
-		id := fmt.Sprintf("00000000000000c%x", i)
+		id := fmt.Sprintf("0000000000000c%x1", i)
 		if !p.client.submit(id, work{MS: 8000, Name: "needs-a"}, map[string]any{"count": 120, "cpu": 5600, "mem_mb": 8000, "gpu": 1, "estimate_ms": 8000, "requires": "a"}) {
 			fatal(errNotAccepted)
 		}
--- a/review/harness-3/case_starts.go
+++ b/review/harness-3/case_starts.go
@@ -54,7 +54,7 @@
 		time.Sleep(20 * time.Millisecond)
 		if time.Now().After(nextJob) {
 			nextJob = nextJob.Add(startEvery)
-			id := fmt.Sprintf("000000000000d%03x", job)
+			id := fmt.Sprintf("00000000000d%03x1", job)
 			job++
 			if !p.client.submit(id, work{Lasts: true, Name: "lasting"}, map[string]any{"count": startTasks, "cpu": 500, "mem_mb": 200, "estimate_ms": 1000, "perpetual": true}) {
 				fatal(errNotAccepted)
